Lay out the slices, the frames and the interfaces

Cause: several parts are to be written side by side and need one set of message types. Change: sub-packages by duty, thrift frames with committed code, codec, handshake, deadlines, outcomes, settings items, and the interfaces each slice offers; rules of the protocol in docs/protocol.md. Parts that only state their interface raise NotImplementedError and follow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.installed
+
+.PHONY: test demo format generate clean
+
+$(READY): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(READY)
+
+test: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python scripts/run_tests.py
+
+demo: $(READY)
+	$(BIN)/python scripts/demo.py
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+# Needs Debian's thrift-compiler; the result is committed.
+generate:
+	rm -rf build/thrift && mkdir -p build/thrift
+	for file in thrift/*.thrift; do thrift --gen py:slots -out build/thrift $$file; done
+	mkdir -p siskinthread/wire/_generated
+	cp -r build/thrift/siskinthread/wire/_generated/. siskinthread/wire/_generated/
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,52 @@
+"""Run the test suite; let listed known failures pass and print them.
+
+KNOWN-RED.txt at the root holds at most three lines, ``test: cause, issue``.  A run
+passes when no other test fails.
+"""
+
+import sys
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED_PATH = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+KNOWN_RED_LIMIT = 3
+
+
+class FailureCollector:
+    """Pytest plug-in that collects the node ids of failed tests."""
+
+    def __init__(self):
+        self.failed = set()
+
+    def pytest_runtest_logreport(self, report):
+        """Note a test whose set-up, call or tear-down failed."""
+        if report.failed:
+            self.failed.add(report.nodeid)
+
+
+def read_known_red():
+    """Return the listed test ids mapped to their whole line."""
+    if not KNOWN_RED_PATH.exists():
+        return {}
+    lines = [line.strip() for line in KNOWN_RED_PATH.read_text().splitlines()]
+    lines = [line for line in lines if line and not line.startswith("#")]
+    if len(lines) > KNOWN_RED_LIMIT:
+        sys.exit(f"KNOWN-RED.txt lists {len(lines)} tests; {KNOWN_RED_LIMIT} at most")
+    return {line.split(": ")[0]: line for line in lines}
+
+
+def main():
+    """Run pytest and judge its failures against the list."""
+    known = read_known_red()
+    collector = FailureCollector()
+    status = pytest.main(sys.argv[1:], plugins=[collector])
+    for line in known.values():
+        print(f"known red: {line}")
+    if status == pytest.ExitCode.TESTS_FAILED and collector.failed <= set(known):
+        return 0
+    return int(status)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/siskinthread/command_line/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/siskinthread/command_line/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of command_line."""
--- /dev/null
+++ b/siskinthread/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin daemons: entry and agent."""
--- /dev/null
+++ b/siskinthread/errors/_errors.py
@@ -0,0 +1,51 @@
+"""Definitions of the exception and warning classes."""
+
+
+class SiskinthreadError(Exception):
+    """Base of every error that this library raises."""
+
+
+class InvariantError(SiskinthreadError):
+    """A broken invariant; the only error that may stop a process."""
+
+
+class DocumentError(SiskinthreadError):
+    """A JSON document can't be read or does not have the expected form.
+
+    Parameters
+    ----------
+    problems : list of siskinthread.documents.Problem
+        Every problem found, in the order of the document.
+    """
+
+    def __init__(self, problems):
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = list(problems)
+
+
+class SettingsError(DocumentError):
+    """A settings file has unknown, repeated, missing or ill-typed items."""
+
+
+class ProtocolError(SiskinthreadError):
+    """The peer sent bytes that the protocol does not allow."""
+
+
+class HandshakeError(ProtocolError):
+    """The peer did not prove that it holds a shared key."""
+
+
+class ConnectionLostError(SiskinthreadError):
+    """A connection ended, failed or stayed silent past its deadline."""
+
+
+class PlatformUnavailableError(SiskinthreadError):
+    """The platform's log, host list or weight store gave no answer in time."""
+
+
+class TargetError(SiskinthreadError):
+    """A target closed its connection or answered something unreadable."""
+
+
+class SiskinthreadWarning(UserWarning):
+    """Base of every warning that this library issues."""
--- /dev/null
+++ b/siskinthread/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Expert maps: model of the work, planner and change protocol."""
--- /dev/null
+++ b/siskinthread/measurement/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that the requirements name."""
--- /dev/null
+++ b/siskinthread/platform/_settings.py
@@ -0,0 +1,23 @@
+"""Settings of the platform's services."""
+
+from siskinthread.settings import Address, Item, Section
+
+
+class PlatformSettings(Section):
+    """Where the platform's services are."""
+
+    log = Item(Address, description="The log service.")
+    host_list = Item(Address, description="The host list.")
+    configuration_stream = Item(
+        str, default="configuration", description="Stream of the published records."
+    )
+    audit_stream = Item(str, default="audit", description="Stream of the audit trail.")
+    answer_wait_s = Item(
+        float, default=2.0, minimum=0.01, description="Longest wait for an answer."
+    )
+    host_list_interval_s = Item(
+        float, default=1.0, minimum=0.05, description="Time between host list reads."
+    )
+    log_poll_wait_s = Item(
+        float, default=1.0, minimum=0.0, description="Long-poll wait of a log read."
+    )
--- /dev/null
+++ b/siskinthread/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the targets: model engines and plain services."""
--- /dev/null
+++ b/siskinthread/wire/__init__.py
@@ -0,0 +1,54 @@
+"""Frames between the system's processes: messages, codec and handshake.
+
+A frame is a thrift union in the compact protocol behind a four-byte big-endian length.
+The generated classes are committed; ``make generate`` makes them anew from
+``thrift/``.
+"""
+
+from siskinthread.wire._channel import Channel, open_channel
+from siskinthread.wire._codec import encode_frame, FrameDecoder
+from siskinthread.wire._generated.frames.ttypes import (
+    Acknowledge,
+    CancelRequest,
+    Frame,
+    Header,
+    Heartbeat,
+    Hello,
+    Leaving,
+    LoadReport,
+    OutcomeCode,
+    Proof,
+    ResponseEnd,
+    ResponseHead,
+    ResponsePart,
+    ResumeRequest,
+    StartRequest,
+)
+from siskinthread.wire._handshake import Identity, PROTOCOL_VERSION, shake_hands
+from siskinthread.wire._settings import PeerSettings
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "Acknowledge",
+    "CancelRequest",
+    "Channel",
+    "Frame",
+    "FrameDecoder",
+    "Header",
+    "Heartbeat",
+    "Hello",
+    "Identity",
+    "Leaving",
+    "LoadReport",
+    "OutcomeCode",
+    "PeerSettings",
+    "Proof",
+    "ResponseEnd",
+    "ResponseHead",
+    "ResponsePart",
+    "ResumeRequest",
+    "StartRequest",
+    "encode_frame",
+    "open_channel",
+    "shake_hands",
+]
--- /dev/null
+++ b/siskinthread/wire/_generated/frames/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the targets; separate processes for tests."""
--- /dev/null
+++ b/thrift/frames.thrift
@@ -0,0 +1,141 @@
+/**
+ * Frames between an entry and an agent.  docs/protocol.md gives the rules; every
+ * connection starts with Hello and Proof in both directions.
+ * Compiled with: make generate
+ */
+namespace py siskinthread.wire._generated.frames
+
+enum OutcomeCode {
+  ANSWERED = 1,
+  REFUSED_NOT_RUN = 2,
+  FAILED_RAN = 3,
+  UNKNOWN = 4,
+}
+
+struct Header {
+  1: string name,
+  2: string value,
+}
+
+/** First frame of either side. */
+struct Hello {
+  1: i32 protocol_version,
+  2: string host,
+  /** Chosen at process start; a replaced process has another one. */
+  3: string incarnation,
+  4: string failure_domain,
+  /** "entry", "agent" or "operator". */
+  5: string role,
+  6: binary nonce,
+  /** Services that the agent stands before; empty for an entry. */
+  7: list<string> services,
+}
+
+/** Second frame of either side: HMAC-SHA256 over both Hello frames. */
+struct Proof {
+  1: string key_id,
+  2: binary digest,
+}
+
+struct LoadReport {
+  1: i32 running,
+  2: i32 waiting,
+  3: i32 capacity,
+  /** Age of the target's own report when this frame was written. */
+  4: i64 age_ms,
+  5: bool leaving,
+  6: bool stalled,
+}
+
+struct Heartbeat {
+  1: i64 sequence,
+  2: optional LoadReport load,
+}
+
+struct StartRequest {
+  1: i64 attempt,
+  2: string request_id,
+  3: string service_name,
+  4: string account,
+  /** 0 is the most urgent. */
+  5: i32 priority,
+  6: bool idempotent,
+  7: optional string idempotency_key,
+  8: i64 time_left_ms,
+  /** Wall clock of the first issue of the key by its caller, Unix milliseconds. */
+  9: optional i64 issued_at_ms,
+  /** Version of the configuration that last changed the homes of the service. */
+  10: i64 homes_version,
+  11: string method,
+  12: string path,
+  13: list<Header> headers,
+  14: binary body,
+  15: i64 window_bytes,
+}
+
+/** Asks, over a new connection, about an attempt that was in flight. */
+struct ResumeRequest {
+  1: i64 attempt,
+  2: string request_id,
+  /** Incarnation of the agent to which StartRequest was written. */
+  3: string sent_to_incarnation,
+  4: bool head_received,
+  5: i64 offset_bytes,
+  6: i64 window_bytes,
+  7: i64 time_left_ms,
+  8: string service_name,
+}
+
+struct Acknowledge {
+  1: i64 attempt,
+  /** All bytes before this offset were handed to the caller's socket. */
+  2: i64 received_bytes,
+  /** True once ResponseEnd was received. */
+  3: bool finished,
+}
+
+struct CancelRequest {
+  1: i64 attempt,
+  2: string request_id,
+}
+
+struct ResponseHead {
+  1: i64 attempt,
+  2: i32 status,
+  3: list<Header> headers,
+}
+
+struct ResponsePart {
+  1: i64 attempt,
+  2: i64 offset_bytes,
+  3: binary data,
+}
+
+struct ResponseEnd {
+  1: i64 attempt,
+  2: OutcomeCode outcome,
+  3: i64 length_bytes,
+  /** Short machine-readable word, for example "leaving". */
+  4: string reason,
+  5: string message,
+  6: optional i64 retry_after_ms,
+}
+
+/** The agent takes no new work from now on. */
+struct Leaving {
+  1: i64 time_left_ms,
+}
+
+union Frame {
+  1: Hello hello,
+  2: Proof proof,
+  3: Heartbeat heartbeat,
+  4: StartRequest start,
+  5: ResumeRequest resume,
+  6: Acknowledge acknowledge,
+  7: CancelRequest cancel,
+  8: ResponseHead head,
+  9: ResponsePart part,
+  10: ResponseEnd end,
+  11: Leaving leaving,
+}
