Check settings files and render examples of them

load_section names every problem of a file at once, each with its line and column.

Item has an optional example, and its minimum bounds the number of elements of a list.

Ruled out: singledispatch over kinds, which are classes and Choice instances and not values; a table of readers is plainer.

--- a/siskinthread/settings/__init__.py
+++ b/siskinthread/settings/__init__.py
@@ -4,6 +4,7 @@
 one.  The daemons compose the sections and pass the settings object whole.
 """
 
+from siskinthread.settings._example import render_example
 from siskinthread.settings._items import Item, Section
 from siskinthread.settings._kinds import (
     Address,
@@ -25,4 +26,5 @@
     "Section",
     "StringList",
     "load_section",
+    "render_example",
 ]
--- a/siskinthread/settings/_items.py
+++ b/siskinthread/settings/_items.py
@@ -8,24 +8,32 @@
 
     Parameters
     ----------
-    kind : type
-        `int`, `float`, `str`, `bool`, a `Section` or a class of
-        `siskinthread.settings`.
+    kind : type or Choice
+        `int`, `float`, `str`, `bool`, a `Section`, a class of `siskinthread.settings`
+        or a `Choice` of words.
     default : object
         Value when the file leaves the setting out; without it the setting is required.
+        Where it is None the file may hold ``null``.
     minimum : float or None
-        Least value of a number, in the unit that the name's suffix states.
+        Least value of a number, in the unit that the name's suffix states; least
+        number of elements of a list.
     description : str
         What the setting does.
+    example : object
+        Value in the written form of the file for `render_example`; None lets it choose
+        one of the kind.
     """
 
-    __slots__ = ("default", "description", "kind", "minimum", "name")
+    __slots__ = ("default", "description", "example", "kind", "minimum", "name")
 
-    def __init__(self, kind, default=REQUIRED, minimum=None, description=""):
+    def __init__(
+        self, kind, default=REQUIRED, minimum=None, description="", example=None
+    ):
         self.kind = kind
         self.default = default
         self.minimum = minimum
         self.description = description
+        self.example = example
         self.name = None
 
     def __set_name__(self, owner, name):
@@ -38,9 +46,14 @@
 
     @property
     def required(self):
-        """Whether the file must hold the setting."""
+        """Whether the setting has no default."""
         return self.default is REQUIRED
 
+    @property
+    def is_section(self):
+        """Whether the setting is a group of settings."""
+        return isinstance(self.kind, type) and issubclass(self.kind, Section)
+
 
 class Section:
     """A group of settings; subclasses declare an `Item` for each one.
@@ -63,9 +76,10 @@
         unknown = sorted(set(values) - {item.name for item in self.items()})
         if unknown:
             raise TypeError(f"unknown settings: {', '.join(unknown)}")
-        self.values = {
-            item.name: values.get(item.name, _default(item)) for item in self.items()
-        }
+        self.values = {}
+        for item in self.items():
+            value = values[item.name] if item.name in values else default_value(item)
+            self.values[item.name] = value
         missing = [name for name, value in self.values.items() if value is REQUIRED]
         if missing:
             raise TypeError(f"missing settings: {', '.join(missing)}")
@@ -76,8 +90,22 @@
         return [value for value in vars(cls).values() if isinstance(value, Item)]
 
 
-def _default(item):
-    if isinstance(item.kind, type) and issubclass(item.kind, Section) and item.required:
-        required = any(subitem.required for subitem in item.kind.items())
-        return REQUIRED if required else item.kind()
-    return item.default
+def default_value(item):
+    """Return the value of a setting that is left out.
+
+    Parameters
+    ----------
+    item : Item
+
+    Returns
+    -------
+    object
+        ``REQUIRED`` where it can't be left out.  A subsection can if all that it
+        holds can.
+    """
+    if not (item.is_section and item.required):
+        return item.default
+    subdefaults = [default_value(subitem) for subitem in item.kind.items()]
+    if any(value is REQUIRED for value in subdefaults):
+        return REQUIRED
+    return item.kind()
--- a/siskinthread/settings/_loading.py
+++ b/siskinthread/settings/_loading.py
@@ -1,5 +1,16 @@
 """From a document to a settings object."""
 
+from siskinthread.documents import read_document
+from siskinthread.errors import SettingsError
+from siskinthread.settings._items import default_value, REQUIRED
+from siskinthread.settings._reading import (
+    INVALID,
+    read_value,
+    Reading,
+    unknown_key,
+    wrong_type,
+)
+
 
 def load_section(section_class, text, source_name):
     """Read a settings object from the text of a file.
@@ -23,4 +34,48 @@
         With every problem and its place in the file: unknown, repeated and missing
         keys, wrong types, numbers under their minimum, bad addresses.
     """
-    raise NotImplementedError
+    document = read_document(text, source_name)
+    reading = Reading(document)
+    if document.value is None and document.problems:
+        raise SettingsError(reading.problems)
+    section = _read_section(section_class, document.value, (), reading)
+    if reading.problems:
+        raise SettingsError(sorted(reading.problems, key=lambda found: found.place))
+    return section
+
+
+def _read_section(section_class, value, path, reading):
+    if not isinstance(value, dict):
+        return wrong_type("an object", value, path, reading)
+    names = [item.name for item in section_class.items()]
+    for key in value:
+        if key not in names:
+            unknown_key(key, names, (*path, key), reading)
+    values = {}
+    for item in section_class.items():
+        values[item.name] = _read_item(item, value, path, reading)
+    if any(result is INVALID for result in values.values()):
+        return INVALID
+    return section_class(**values)
+
+
+def _read_item(item, section_value, section_path, reading):
+    path = (*section_path, item.name)
+    if item.name not in section_value:
+        return _read_absent_item(item, path, reading)
+    value = section_value[item.name]
+    if not item.is_section:
+        return read_value(item, value, path, reading)
+    if value is None and item.default is None:
+        return None
+    return _read_section(item.kind, value, path, reading)
+
+
+def _read_absent_item(item, path, reading):
+    default = default_value(item)
+    if default is not REQUIRED:
+        return default
+    if item.is_section:
+        # Names each setting that the section must hold.
+        return _read_section(item.kind, {}, path, reading)
+    return reading.report(path, "missing setting")
