Add the command line with the daemons and settings files

entry and agent run the daemons; settings check names every problem of a file, settings show prints an example that passes the check. Exit codes are 0, 2 for wrong usage or a bad file, 1 for other failures; a broken invariant keeps its traceback. A group of subcommands is one module with one line in the root's tree.

Ruled out: looking for the modules of groups at run time, which hides what the command line holds; and plain classes for commands, since cappa reads the fields of dataclasses.

Each of these was taken out once, and its tests failed: the place of bytes that are not UTF-8 (2 failed), the passing on of a broken invariant (1), the reader that ends early (1).

--- /dev/null
+++ b/siskinthread/command_line/_roles.py
@@ -0,0 +1,61 @@
+"""The two daemons and their settings.
+
+The daemons are imported only when a command needs them, so that ``--help`` and the
+operators' commands start without them.
+"""
+
+from typing import get_args, Literal
+
+from siskinthread.command_line._files import read_text
+from siskinthread.settings import load_section
+
+Role = Literal["entry", "agent"]
+ROLES = get_args(Role)
+
+
+def settings_class(role):
+    """Return the `Section` that a daemon's settings file is read to.
+
+    Parameters
+    ----------
+    role : str
+        One of ``ROLES``.
+
+    Returns
+    -------
+    type
+    """
+    from siskinthread import daemons
+
+    if role == "entry":
+        return daemons.EntrySettings
+    return daemons.AgentSettings
+
+
+def run_daemon(role, file_name):
+    """Run a daemon until it has stopped.
+
+    Parameters
+    ----------
+    role : str
+        One of ``ROLES``.
+    file_name : str
+        Its settings file.
+
+    Returns
+    -------
+    int or None
+        Exit code.
+
+    Raises
+    ------
+    SettingsError
+        With every problem of the file.
+    """
+    from siskinthread import daemons
+
+    text = read_text(file_name)
+    settings = load_section(settings_class(role), text, file_name)
+    if role == "entry":
+        return daemons.run_entry(settings)
+    return daemons.run_agent(settings)
--- /dev/null
+++ b/siskinthread/command_line/_root.py
@@ -0,0 +1,29 @@
+"""The tree of commands."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from siskinthread.command_line._daemons import AgentCommand, EntryCommand
+from siskinthread.command_line._settings import SettingsCommand
+
+# One line for each daemon and each group of subcommands; a new group is imported above
+# and added here.
+Commands = (
+    EntryCommand
+    | AgentCommand
+    | SettingsCommand
+)  # fmt: skip
+
+
+@cappa.command(
+    name="siskinthread",
+    help="Load balancer for expert-parallel model groups.",
+    description="Exit codes: 0 if all went well, 2 for wrong usage or a bad file, 1 "
+    "for any other failure; a command that has more states them in its own help.",
+)
+@dataclass(slots=True)
+class RootCommand:
+    """The whole command line."""
+
+    command: cappa.Subcommands[Commands]
--- /dev/null
+++ b/siskinthread/command_line/tests/test_command_line.py
@@ -0,0 +1,189 @@
+"""Tests of the command line: bad files, wrong usage and exit codes."""
+
+import os
+import sys
+import types
+
+import pytest
+
+import siskinthread
+from siskinthread.command_line import main
+from siskinthread.errors import InvariantError, PlatformUnavailableError
+from siskinthread.settings import Address, Item, Section
+
+
+class FakeEntrySettings(Section):
+    listen = Item(Address)
+    link_limit = Item(int, default=1, minimum=1)
+
+
+class FakeAgentSettings(Section):
+    listen = Item(Address)
+    targets_limit = Item(int, default=1)
+    name = Item(str)
+
+
+@pytest.fixture
+def daemons(monkeypatch):
+    """Daemons that only note the settings they were started with."""
+    started = []
+    stub = types.SimpleNamespace(
+        EntrySettings=FakeEntrySettings,
+        AgentSettings=FakeAgentSettings,
+        run_entry=lambda settings: started.append(("entry", settings)),
+        run_agent=lambda settings: started.append(("agent", settings)),
+        started=started,
+    )
+    monkeypatch.setattr(siskinthread, "daemons", stub, raising=False)
+    return stub
+
+
+@pytest.fixture
+def write(tmp_path, monkeypatch):
+    """Write a file in the working directory."""
+    monkeypatch.chdir(tmp_path)
+
+    def write_file(content, name="file.json"):
+        content = content.encode() if isinstance(content, str) else content
+        (tmp_path / name).write_bytes(content)
+        return name
+
+    return write_file
+
+
+@pytest.mark.parametrize("role", ["entry", "agent"])
+def test_daemon_gets_its_settings(daemons, write, role):
+    """A good file starts the daemon of the role with the settings object whole."""
+    name = write(
+        '{"listen": "127.0.0.1:80", %s}' % ("" if role == "entry" else "name: 'a'")
+    )
+    assert main([role, "--settings", name]) == 0
+    ((started_role, settings),) = daemons.started
+    assert started_role == role
+    assert settings.listen == Address("127.0.0.1", 80)
+
+
+def test_daemon_does_not_start_with_a_bad_file(daemons, write, capsys):
+    """Every problem is one line on the error output, and nothing runs."""
+    name = write('{"listen": "here:80",\n "link_limt": 2,\n "link_limit": 0}')
+    assert main(["entry", "--settings", name]) == 2
+    output = capsys.readouterr()
+    assert output.out == ""
+    assert output.err.splitlines() == [
+        'file.json:1:12: listen: bad IP number "here"',
+        'file.json:2:2: link_limt: unknown setting; did you mean "link_limit"?',
+        "file.json:3:16: link_limit: under the minimum 1",
+    ]
+    assert daemons.started == []
+
+
+@pytest.mark.parametrize(
+    ("content", "expected"),
+    [
+        (b"{\n \"listen\": '\xff'}", "file.json:2:13: not in UTF-8"),
+        (b"", "file.json:1:1: no JSON data found"),
+        (b"\xff\xfe{\0}\0", "file.json:1:1: not in UTF-8"),
+    ],
+)
+def test_unreadable_content_is_a_bad_file(daemons, write, capsys, content, expected):
+    """A file that is no text is refused with the place of the first bad byte."""
+    assert main(["settings", "check", write(content), "--role", "entry"]) == 2
+    assert capsys.readouterr().err.splitlines() == [expected]
+
+
+@pytest.mark.parametrize("name", ["absent.json", ".", "a\0b"])
+def test_file_that_can_not_be_opened_is_a_bad_file(daemons, write, capsys, name):
+    """A missing file, a folder and a bad name give one line and no traceback."""
+    write("{}")
+    assert main(["agent", "--settings", name]) == 2
+    (line,) = capsys.readouterr().err.splitlines()
+    assert ":1:1: can't read: " in line
+
+
+def test_check_finds_the_role_that_fits(daemons, write, capsys):
+    """Without a role, the problems are those of the role that fits best."""
+    good = write('{"listen": "127.0.0.1:80", "name": "a"}', "good.json")
+    assert main(["settings", "check", good]) == 0
+    assert capsys.readouterr().out == "good.json: fine for the agent daemon\n"
+    bad = write('{"listen": "127.0.0.1:80", "name": "a", "target_limit": 1}')
+    assert main(["settings", "check", bad]) == 2
+    assert capsys.readouterr().err.splitlines() == [
+        'file.json:1:41: target_limit: unknown setting; did you mean "targets_limit"?'
+    ]
+    assert main(["settings", "check", good, "--role", "entry"]) == 2
+
+
+@pytest.mark.parametrize("role", ["entry", "agent"])
+def test_shown_example_passes_the_check(write, capsys, role):
+    """What `settings show` prints for the real daemons is accepted by the check."""
+    assert main(["settings", "show", "--role", role]) == 0
+    name = write(capsys.readouterr().out)
+    assert main(["settings", "check", name, "--role", role]) == 0
+
+
+def test_reader_that_ends_early_is_no_error(daemons, monkeypatch):
+    """A result that nobody reads to its end is no failure.
+
+    Symptom: a traceback behind the output of ``settings show | head -1``.  Sequence:
+    the reader ends, the next write fails.  Cause: the pipe has no reader any more.
+    """
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    with os.fdopen(write_end, "w") as output:
+        monkeypatch.setattr(sys, "stdout", output)
+        assert main(["settings", "show", "--role", "entry"]) == 0
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        [],
+        ["bogus"],
+        ["entry"],
+        ["entry", "--settings"],
+        ["settings"],
+        ["settings", "check"],
+        ["settings", "show", "--role", "other"],
+        ["entry", "--settings", "a", "b"],
+    ],
+)
+def test_wrong_usage_gives_code_2(daemons, capsys, arguments):
+    """Wrong usage is explained on the error output and runs nothing."""
+    assert main(arguments) == 2
+    output = capsys.readouterr()
+    assert output.out == ""
+    assert output.err
+    assert daemons.started == []
+
+
+@pytest.mark.parametrize(
+    "arguments", [[], ["entry"], ["agent"], ["settings"], ["settings", "check"]]
+)
+def test_help_is_no_error(capsys, arguments):
+    """Every command explains itself on the standard output."""
+    assert main([*arguments, "--help"]) == 0
+    output = capsys.readouterr()
+    assert output.out.startswith("Usage: siskinthread")
+    assert output.err == ""
+
+
+def test_failure_of_a_command_gives_code_1(daemons, write, capsys):
+    """An error that is no fault of the file is one line and code 1."""
+
+    def run_entry(settings):
+        raise PlatformUnavailableError("no answer from the log")
+
+    daemons.run_entry = run_entry
+    assert main(["entry", "--settings", write('{"listen": "127.0.0.1:80"}')]) == 1
+    assert capsys.readouterr().err == "siskinthread: no answer from the log\n"
+
+
+def test_broken_invariant_is_not_caught(daemons, write):
+    """A broken invariant stops the process with its traceback."""
+
+    def run_entry(settings):
+        raise InvariantError("two owners")
+
+    daemons.run_entry = run_entry
+    with pytest.raises(InvariantError):
+        main(["entry", "--settings", write('{"listen": "127.0.0.1:80"}')])
