--- a/siskinthread/platform/_host_list.py
+++ b/siskinthread/platform/_host_list.py
@@ -1,4 +1,10 @@
-"""Client of the host list: ``GET /hosts`` answers a JSON list of hosts."""
+"""Client of the host list: ``GET /hosts`` answers a JSON list of hosts.
+
+Each host is an object with the fields of `HostEntry`.
+"""
+
+from siskinthread.errors import PlatformUnavailableError
+from siskinthread.platform._http import HttpClient, parse_json
 
 
 class HostEntry:
@@ -40,10 +46,10 @@
         Address and waits.
     """
 
-    __slots__ = ("_settings",)
+    __slots__ = ("_http",)
 
     def __init__(self, settings):
-        self._settings = settings
+        self._http = HttpClient("host list", settings.host_list, settings.answer_wait_s)
 
     async def fetch(self):
         """Return the list of `HostEntry`.
@@ -51,6 +57,27 @@
         Raises
         ------
         PlatformUnavailableError
-            If no answer came in time.
+            If no readable answer came in time.
         """
-        raise NotImplementedError
+        body = await self._http.get("/hosts")
+        try:
+            return [_read_entry(value) for value in parse_json("host list", body)]
+        except (KeyError, TypeError, ValueError) as error:
+            raise PlatformUnavailableError(
+                f"host list: unexpected answer: {error!r}"
+            ) from error
+
+    async def close(self):
+        """Close the kept connection."""
+        await self._http.close()
+
+
+def _read_entry(value):
+    return HostEntry(
+        str(value["host"]),
+        str(value["role"]),
+        str(value["address"]),
+        int(value["port"]),
+        str(value["failure_domain"]),
+        bool(value.get("leaving", False)),
+    )
--- /dev/null
+++ b/siskinthread/platform/_http.py
@@ -0,0 +1,235 @@
+"""Small HTTP client with kept connections, deadlines and a size limit."""
+
+import json
+import socket
+
+import curio
+import h11
+
+from siskinthread.errors import PlatformUnavailableError
+
+RECEIVE_SIZE_BYTES = 64 * 1024
+SIZE_LIMIT_BYTES = 64 * 1024 * 1024
+IDLE_CONNECTIONS_KEPT = 4
+STATUS_OK = 200
+
+
+class HttpClient:
+    """Requests to one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service, for messages.
+    address : siskinthread.settings.Address
+        Where it listens.
+    answer_wait_s : float
+        Longest wait for an answer.
+    size_limit_bytes : int
+        Longest body that is accepted.
+
+    Notes
+    -----
+    Every failure is a `PlatformUnavailableError`: to the caller it makes no difference
+    whether the service refused, was silent or spoke nonsense.
+    """
+
+    __slots__ = ("_address", "_answer_wait_s", "_idle", "_service", "_size_limit_bytes")
+
+    def __init__(
+        self, service, address, answer_wait_s, size_limit_bytes=SIZE_LIMIT_BYTES
+    ):
+        self._service = service
+        self._address = address
+        self._answer_wait_s = answer_wait_s
+        self._size_limit_bytes = size_limit_bytes
+        self._idle = []
+
+    async def get(self, target, extra_wait_s=0.0):
+        """Return the body of the answer to a GET.
+
+        Parameters
+        ----------
+        target : str
+            Path and query.
+        extra_wait_s : float
+            Time that the service itself was asked to wait.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no whole answer with status 200 came in time.
+        """
+        return await self._request("GET", target, b"", extra_wait_s)
+
+    async def post(self, target, body):
+        """Return the body of the answer to a POST, which is sent once at most.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no whole answer with status 200 came in time; the request may have
+            taken effect.
+        """
+        return await self._request("POST", target, body, 0.0)
+
+    async def close(self):
+        """Close the kept connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+    async def _request(self, method, target, body, extra_wait_s):
+        wait_s = self._answer_wait_s + extra_wait_s
+        try:
+            status, answer = await curio.timeout_after(
+                wait_s, self._exchange, method, target, body
+            )
+        except curio.TaskTimeout as error:
+            raise self._error(f"no answer to {method} in {wait_s:g} s") from error
+        except (OSError, h11.ProtocolError, EOFError) as error:
+            raise self._error(f"{method} failed: {error!r}") from error
+        if status != STATUS_OK:
+            raise self._error(f"{method} was answered with status {status}")
+        return answer
+
+    async def _exchange(self, method, target, body):
+        connection = await self._take_connection()
+        try:
+            result = await connection.exchange(method, target, body)
+        except BaseException:
+            # A connection that failed or was given up half-way may still deliver the
+            # late answer, which the next request would take for its own.
+            await connection.close()
+            raise
+        if connection.reusable() and len(self._idle) < IDLE_CONNECTIONS_KEPT:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+        return result
+
+    async def _take_connection(self):
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.quiet():
+                return connection
+            await connection.close()
+        address = self._address
+        sock = await curio.open_connection(address.host, address.port)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return _Connection(sock, str(address), self._size_limit_bytes)
+
+    def _error(self, text):
+        return PlatformUnavailableError(f"{self._service} at {self._address}: {text}")
+
+
+class _Connection:
+    """One kept connection.
+
+    Parameters
+    ----------
+    sock : curio.io.Socket
+        A connected socket.
+    authority : str
+        Value of the Host header.
+    size_limit_bytes : int
+        Longest body that is accepted.
+    """
+
+    __slots__ = ("_authority", "_protocol", "_size_limit_bytes", "_socket")
+
+    def __init__(self, sock, authority, size_limit_bytes):
+        self._socket = sock
+        self._authority = authority
+        self._size_limit_bytes = size_limit_bytes
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    def quiet(self):
+        """Return whether an idle connection is still open and has nothing to read.
+
+        A server closes idle connections when it restarts.  A request written to such
+        a connection fails although it never arrived; an append would then be reported
+        as possibly done.  Looking first makes that rare.
+        """
+        try:
+            with self._socket.blocking() as raw:
+                raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def reusable(self):
+        """Return whether another request may follow, and make ready for it."""
+        protocol = self._protocol
+        if (protocol.our_state, protocol.their_state) != (h11.DONE, h11.DONE):
+            return False
+        protocol.start_next_cycle()
+        return True
+
+    async def exchange(self, method, target, body):
+        """Send a request and return the status and the body of its answer."""
+        await self._socket.sendall(self._encode(method, target, body))
+        head = await self._next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event()
+        return head.status_code, await self._receive_body()
+
+    async def close(self):
+        """Close the connection."""
+        await self._socket.close()
+
+    def _encode(self, method, target, body):
+        headers = [("host", self._authority), ("content-length", str(len(body)))]
+        request = h11.Request(method=method, target=target, headers=headers)
+        send = self._protocol.send
+        parts = [send(request)]
+        if body:
+            parts.append(send(h11.Data(data=body)))
+        parts.append(send(h11.EndOfMessage()))
+        return b"".join(parts)
+
+    async def _receive_body(self):
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise EOFError("closed within the answer")
+            body += event.data
+            if len(body) > self._size_limit_bytes:
+                raise EOFError(f"answer is over {self._size_limit_bytes} bytes")
+
+    async def _next_event(self):
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._socket.recv(RECEIVE_SIZE_BYTES)
+            if not data and self._protocol.their_state is h11.SEND_RESPONSE:
+                raise EOFError("closed before the answer")
+            self._protocol.receive_data(data)
+
+
+def parse_json(service, body):
+    """Return the value of a JSON body.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service, for messages.
+    body : bytes
+        The answer.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If the body is no JSON.
+    """
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise PlatformUnavailableError(
+            f"{service}: answer is no JSON: {error}: {body[:80]!r}"
+        ) from error
--- /dev/null
+++ b/siskinthread/platform/tests/test_http.py
@@ -0,0 +1,176 @@
+"""Failures of the platform's services as their clients see them."""
+
+import curio
+import pytest
+
+from siskinthread.errors import PlatformUnavailableError
+from siskinthread.platform import HostListClient, LogClient
+from siskinthread.platform._http import HttpClient
+from siskinthread.platform.tests._raw_server import (
+    json_answer,
+    RawServer,
+    read_head,
+    settings_for,
+)
+
+ONE_HOST = (
+    b'[{"host": "entry-1", "role": "entry", "address": "127.0.0.1", "port": 7, '
+    b'"failure_domain": "steinkjer", "leaving": true}]'
+)
+
+
+def test_a_silent_service_is_unavailable_and_its_connection_is_given_up():
+    """A late answer is never taken for the answer to the next request.
+
+    Symptom: a reader gets the records of an earlier read.  Sequence: the service is
+    slower than the wait; the client gives up; the late answer arrives on the kept
+    connection; the next request goes out on it.  Cause: the connection was kept.
+    """
+
+    async def play(client, number):
+        await read_head(client)
+        if number > 1:
+            await client.sendall(json_answer(b"[]"))
+        elif await read_head(client):
+            await client.sendall(json_answer(b'["late"]'))
+
+    async def main():
+        async with RawServer(play) as server:
+            client = HttpClient("log", server.address, 0.05)
+            with pytest.raises(PlatformUnavailableError, match="no answer"):
+                await client.get("/")
+            assert await client.get("/") == b"[]"
+            assert server.connections == 2
+            await client.close()
+
+    curio.run(main)
+
+
+def test_a_connection_that_the_service_closed_is_replaced_before_it_is_used():
+    """An append after an idle time is not reported lost.
+
+    Symptom: the first append after the service was restarted fails and "may have
+    taken effect", although it never left.  Sequence: an answer comes; the service
+    closes the idle connection; the next append is written to it.  Cause: the client
+    did not look whether the kept connection was still open.
+    """
+
+    async def main():
+        closed = curio.Event()
+
+        async def play(client, number):
+            await read_head(client)
+            await client.sendall(json_answer(b"[%d]" % number))
+            if number == 1:
+                await client.close()
+                await closed.set()
+
+        async with RawServer(play) as server:
+            client = HttpClient("log", server.address, 1.0)
+            assert await client.get("/") == b"[1]"
+            await closed.wait()
+            assert await client.post("/", b"") == b"[2]"
+            await client.close()
+
+    curio.run(main)
+
+
+def test_an_append_whose_answer_is_lost_is_sent_once():
+    """The client reports the loss and leaves the retry to the publisher.
+
+    Symptom: one change stands twice in the stream.  Sequence: the append takes
+    effect; the connection breaks before the answer; the client sends it again.
+    Cause: a retry below the one who knows the record id.
+    """
+
+    async def play(client, number):
+        await read_head(client)
+
+    async def main():
+        async with RawServer(play) as server:
+            client = LogClient(settings_for(server.address))
+            with pytest.raises(PlatformUnavailableError, match="POST failed"):
+                await client.append("configuration", b"")
+            assert server.connections == 1
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(b"HTTP/1.1 500 Oh\r\ncontent-length: 0\r\n\r\n", id="status"),
+        pytest.param(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{", id="cut short"),
+        pytest.param(b"HTTP/1.1 200 OK\r\ncontent-le", id="cut in the head"),
+        pytest.param(b"220 smtp ready\r\n\r\n", id="no HTTP"),
+        pytest.param(json_answer(b'{"first_offset": 1'), id="no JSON"),
+        pytest.param(json_answer(b'{"first_offset": 1}'), id="fields missing"),
+        pytest.param(json_answer(b"7"), id="no object"),
+        pytest.param(json_answer(b"\xff\xfe"), id="no text"),
+        pytest.param(
+            json_answer(
+                b'{"first_offset": 0, "next_offset": 1, "records": '
+                b'[{"offset": 0, "at_ms": 1, "body": "a?"}]}'
+            ),
+            id="no base64",
+        ),
+        pytest.param(
+            json_answer(
+                b'{"first_offset": 0, "next_offset": 3, "records": '
+                b'[{"offset": 0, "at_ms": 1, "body": ""},'
+                b' {"offset": 2, "at_ms": 1, "body": ""}]}'
+            ),
+            id="hole between records",
+        ),
+    ],
+)
+def test_an_unusable_answer_is_an_unavailable_service(answer):
+    """Whatever a service answers, only one kind of error comes out."""
+
+    async def play(client, number):
+        await read_head(client)
+        await client.sendall(answer)
+
+    async def main():
+        async with RawServer(play) as server:
+            settings = settings_for(server.address)
+            with pytest.raises(PlatformUnavailableError):
+                await LogClient(settings).read("configuration", 0)
+            with pytest.raises(PlatformUnavailableError):
+                await HostListClient(settings).fetch()
+
+    curio.run(main)
+
+
+def test_an_endless_answer_is_cut_off():
+    """A body over the size limit ends the request instead of filling the memory."""
+
+    async def play(client, number):
+        await read_head(client)
+        await client.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\n")
+        await client.sendall(b"x" * 99_999)
+
+    async def main():
+        async with RawServer(play) as server:
+            client = HttpClient("log", server.address, 1.0, size_limit_bytes=1000)
+            with pytest.raises(PlatformUnavailableError, match="over 1000 bytes"):
+                await client.get("/")
+
+    curio.run(main)
+
+
+def test_the_host_list_is_read():
+    """Every field of a host arrives."""
+
+    async def play(client, number):
+        await read_head(client)
+        await client.sendall(json_answer(ONE_HOST))
+
+    async def main():
+        async with RawServer(play) as server:
+            (entry,) = await HostListClient(settings_for(server.address)).fetch()
+        found = [entry.host, entry.role, entry.address, entry.port]
+        assert found == ["entry-1", "entry", "127.0.0.1", 7]
+        assert (entry.failure_domain, entry.leaving) == ("steinkjer", True)
+
+    curio.run(main)
