--- /dev/null
+++ b/scripts/_load.py
@@ -0,0 +1,273 @@
+"""Callers that check every answer byte for byte and retry as callers should."""
+
+import enum
+import json
+import random
+import time
+
+import curio
+
+from scripts._caller_http import CallerConnection
+from standins.plain_service import answer_body
+from standins.tokens import expected_answer
+
+MILLISECONDS_PER_SECOND = 1000
+RETRY_WAIT_FIRST_S = 0.1
+RETRY_WAIT_LIMIT_S = 1.0
+ERROR_EVENT = b"event: error\n"
+
+
+class Verdict(enum.Enum):
+    """What a caller may conclude from one answer."""
+
+    ANSWERED = "answered"
+    REFUSED_NOT_RUN = "refused_not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+    WRONG_BYTES = "wrong_bytes"
+    TRUNCATED_AS_WHOLE = "truncated_as_whole"
+
+
+FINAL_VERDICTS = (
+    Verdict.ANSWERED,
+    Verdict.FAILED,
+    Verdict.WRONG_BYTES,
+    Verdict.TRUNCATED_AS_WHOLE,
+)
+
+
+class Attempt:
+    """One HTTP request of a caller.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        What it came to.
+    reason : str
+        The system's reason, or the caller's own word.
+    request_id : str or None
+        The system's id of the request.
+    answer : scripts._caller_http.RawAnswer
+        The answer itself.
+    """
+
+    __slots__ = ("answer", "reason", "request_id", "verdict")
+
+    def __init__(self, verdict, reason, request_id, answer):
+        self.verdict = verdict
+        self.reason = reason
+        self.request_id = request_id
+        self.answer = answer
+
+
+class Call:
+    """One request as its caller sees it, with all attempts at it.
+
+    Parameters
+    ----------
+    kind : str
+        "draft" or "alert"; for the report.
+    account_key : str
+        Bearer key.
+    target : str
+        Path.
+    body : bytes
+        The whole body.
+    timeout_s : float
+        Time that the caller gives it.
+    idempotent : bool
+        Whether it may run twice.
+    idempotency_key : str or None
+        Key under which it is retried.
+    """
+
+    __slots__ = (
+        "account_key",
+        "attempts",
+        "body",
+        "idempotency_key",
+        "idempotent",
+        "issued_at_ms",
+        "kind",
+        "target",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        kind,
+        account_key,
+        target,
+        body,
+        timeout_s,
+        idempotent=False,
+        idempotency_key=None,
+    ):
+        self.kind = kind
+        self.account_key = account_key
+        self.target = target
+        self.body = body
+        self.timeout_s = timeout_s
+        self.idempotent = idempotent
+        self.idempotency_key = idempotency_key
+        self.issued_at_ms = None
+        self.attempts = []
+
+    @property
+    def verdict(self):
+        """Verdict of the last attempt; UNKNOWN before the first."""
+        return self.attempts[-1].verdict if self.attempts else Verdict.UNKNOWN
+
+    def headers(self):
+        """Return the headers, the same for each attempt."""
+        headers = [
+            ("authorization", f"Bearer {self.account_key}"),
+            ("content-type", "application/json"),
+            ("siskinthread-deadline", str(self._deadline_ms())),
+        ]
+        if self.idempotency_key is not None:
+            headers.append(("idempotency-key", self.idempotency_key))
+            headers.append(("siskinthread-issued-at", str(self.issued_at_ms)))
+        else:
+            headers.append(
+                ("siskinthread-idempotent", "yes" if self.idempotent else "no")
+            )
+        return headers
+
+    def _deadline_ms(self):
+        return self.issued_at_ms + round(self.timeout_s * MILLISECONDS_PER_SECOND)
+
+
+class Callers:
+    """Sends calls to the entries and collects what came of them.
+
+    Parameters
+    ----------
+    entries : list of tuple
+        IP number and TCP port of each entry.
+    seed : int
+        Seed of the choice of entries.
+    """
+
+    __slots__ = ("_entries", "_idle", "_random", "calls")
+
+    def __init__(self, entries, seed=1):
+        self._entries = list(entries)
+        self._idle = {address: [] for address in self._entries}
+        self._random = random.Random(seed)
+        self.calls = []
+
+    async def make(self, call):
+        """Carry a call through to its end and note it."""
+        self.calls.append(call)
+        call.issued_at_ms = time.time_ns() // 1_000_000
+        deadline_s = time.monotonic() + call.timeout_s
+        address = self._random.choice(self._entries)
+        retry_wait_s = RETRY_WAIT_FIRST_S
+        while True:
+            attempt = await self._attempt(call, address, deadline_s)
+            call.attempts.append(attempt)
+            if not _worth_retrying(call, attempt):
+                return
+            if time.monotonic() + retry_wait_s >= deadline_s:
+                return
+            await curio.sleep(retry_wait_s)
+            retry_wait_s = min(2 * retry_wait_s, RETRY_WAIT_LIMIT_S)
+            address = self._other_entry(address)
+
+    async def close(self):
+        """Close the idle connections."""
+        for connections in self._idle.values():
+            while connections:
+                await connections.pop().close()
+
+    async def _attempt(self, call, address, deadline_s):
+        idle = self._idle[address]
+        connection = idle.pop() if idle else CallerConnection(address)
+        wait_s = max(0.05, deadline_s - time.monotonic() + 1.0)
+        answer = await connection.call(
+            "POST", call.target, call.headers(), call.body, wait_s
+        )
+        idle.append(connection)
+        return judge(call, answer)
+
+    def _other_entry(self, address):
+        others = [entry for entry in self._entries if entry != address]
+        return self._random.choice(others or self._entries)
+
+
+def judge(call, answer):
+    """Return the `Attempt` that an answer amounts to.
+
+    Parameters
+    ----------
+    call : Call
+        What was asked.
+    answer : scripts._caller_http.RawAnswer
+        What came.
+    """
+    request_id = answer.headers.get("siskinthread-request-id")
+    verdict, reason = _judge(call, answer)
+    return Attempt(verdict, reason, request_id, answer)
+
+
+def _judge(call, answer):
+    if not answer.sent:
+        return Verdict.REFUSED_NOT_RUN, "no_connection"
+    if answer.status is None:
+        return Verdict.UNKNOWN, "lost_before_head"
+    outcome = answer.headers.get("siskinthread-outcome")
+    if outcome in (None, "answered") and answer.status == 200:
+        return _judge_body(call, answer)
+    if outcome == "answered":
+        return Verdict.FAILED, f"status_{answer.status}"
+    if outcome is None:
+        return Verdict.UNKNOWN, f"status_{answer.status}_without_outcome"
+    return Verdict(outcome), _stated_reason(bytes(answer.body))
+
+
+def _judge_body(call, answer):
+    body = bytes(answer.body)
+    if answer.whole and _is_expected(call, body):
+        return Verdict.ANSWERED, "complete"
+    if answer.whole and ERROR_EVENT not in body:
+        return Verdict.TRUNCATED_AS_WHOLE, f"{len(body)} bytes"
+    text, _, error = body.partition(ERROR_EVENT)
+    if call.kind == "draft" and not expected_answer(json.loads(call.body)).startswith(
+        text
+    ):
+        return Verdict.WRONG_BYTES, "before the break"
+    if not error:
+        return Verdict.UNKNOWN, "broken"
+    stated = error.removeprefix(b"data: ").strip()
+    return Verdict(_stated(stated, "outcome", "unknown")), _stated_reason(stated)
+
+
+def _is_expected(call, body):
+    if call.kind == "draft":
+        return body == expected_answer(json.loads(call.body))
+    try:
+        value = json.loads(body)
+        path = "/" + call.target.split("/", 3)[3]
+        return body == answer_body(value["number"], "POST", path, call.body)
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
+def _stated(body, field, default):
+    try:
+        return json.loads(body)["error"][field]
+    except (ValueError, KeyError, TypeError):
+        return default
+
+
+def _stated_reason(body):
+    return str(_stated(body, "reason", "unreadable"))
+
+
+def _worth_retrying(call, attempt):
+    # Without a key nothing tells the system that two requests are one, so that only a
+    # request that never left may be sent again.
+    if attempt.verdict in FINAL_VERDICTS:
+        return False
+    return call.idempotency_key is not None or not attempt.answer.sent
--- /dev/null
+++ b/scripts/_verdict.py
@@ -0,0 +1,157 @@
+"""Judges a run: what callers were told against what the targets really ran."""
+
+import collections
+
+from scripts._load import Verdict
+
+
+class RunVerdict:
+    """Counts of a whole run.
+
+    Parameters
+    ----------
+    calls : list of scripts._load.Call
+        Every request of the callers, with its attempts.
+    ledgers : dict of str to dict
+        The ledger of each target by host name.
+
+    Attributes
+    ----------
+    requests, answered, refused_not_run, failed, unknown : int
+        Requests, and those of each final outcome.
+    truncated_as_whole : int
+        Answers that ended as if whole but were not the expected bytes.
+    wrong_bytes : int
+        Answers that broke visibly but had wrong bytes before that.
+    run_twice : int
+        Non-idempotent requests that the targets ran more than once.
+    refused_but_ran : int
+        Requests that ran although every attempt was refused as not run.
+    answered_not_run : int
+        Requests that were answered although no target ran them.
+    unusual : list of scripts._load.Call
+        Requests that were not answered in the end.
+    """
+
+    __slots__ = (
+        "answered",
+        "answered_not_run",
+        "details",
+        "failed",
+        "refused_but_ran",
+        "refused_not_run",
+        "requests",
+        "run_twice",
+        "truncated_as_whole",
+        "unknown",
+        "unusual",
+        "wrong_bytes",
+    )
+
+    def __init__(self, calls, ledgers):
+        runs = _Runs(ledgers)
+        finals = collections.Counter(call.verdict for call in calls)
+        every = collections.Counter(
+            attempt.verdict for call in calls for attempt in call.attempts
+        )
+        self.requests = len(calls)
+        self.answered = finals[Verdict.ANSWERED]
+        self.refused_not_run = finals[Verdict.REFUSED_NOT_RUN]
+        self.failed = finals[Verdict.FAILED]
+        self.unknown = finals[Verdict.UNKNOWN]
+        self.truncated_as_whole = every[Verdict.TRUNCATED_AS_WHOLE]
+        self.wrong_bytes = every[Verdict.WRONG_BYTES]
+        self.details = []
+        self.unusual = [call for call in calls if call.verdict is not Verdict.ANSWERED]
+        self.run_twice = self._count(calls, runs, "run_twice", _ran_twice)
+        self.refused_but_ran = self._count(
+            calls, runs, "refused_but_ran", _ran_though_refused
+        )
+        self.answered_not_run = self._count(
+            calls, runs, "answered_not_run", _answered_without_run
+        )
+
+    def holds(self):
+        """Return whether nothing happened that must never happen."""
+        return not (
+            self.truncated_as_whole
+            or self.wrong_bytes
+            or self.run_twice
+            or self.refused_but_ran
+            or self.answered_not_run
+        )
+
+    def as_json(self):
+        """Return the counts as a JSON value."""
+        return {
+            name: getattr(self, name)
+            for name in (
+                "requests",
+                "answered",
+                "refused_not_run",
+                "failed",
+                "unknown",
+                "truncated_as_whole",
+                "run_twice",
+                "refused_but_ran",
+                "wrong_bytes",
+                "answered_not_run",
+            )
+        }
+
+    def _count(self, calls, runs, name, violates):
+        count = 0
+        for call in calls:
+            if violates(call, runs):
+                count += 1
+                self.details.append(f"{name}: {describe(call)}")
+        return count
+
+
+class _Runs:
+    """Runs over all targets, by request id and by idempotency key."""
+
+    __slots__ = ("_by_id", "_by_key")
+
+    def __init__(self, ledgers):
+        self._by_id = collections.Counter()
+        self._by_key = collections.Counter()
+        for ledger in ledgers.values():
+            for request_id, entry in ledger.items():
+                self._by_id[request_id] += entry["runs"]
+                if entry["idempotency_key"]:
+                    self._by_key[entry["idempotency_key"]] += entry["runs"]
+
+    def count(self, call):
+        """Return how often targets ran a call, whichever of its names they know."""
+        request_ids = {attempt.request_id for attempt in call.attempts}
+        by_id = sum(self._by_id[request_id] for request_id in request_ids)
+        if call.idempotency_key is None:
+            return by_id
+        return max(by_id, self._by_key[call.idempotency_key])
+
+
+def describe(call):
+    """Return one line on a call and its attempts, for people."""
+    attempts = ", ".join(
+        f"{attempt.verdict.value}/{attempt.reason}" for attempt in call.attempts
+    )
+    name = call.idempotency_key or (call.attempts[-1].request_id or "unnamed")
+    return f"{call.kind} {name}: {attempts}"
+
+
+def _ran_twice(call, runs):
+    return not call.idempotent and runs.count(call) > 1
+
+
+def _ran_though_refused(call, runs):
+    # A refusal speaks of its own attempt.  Behind an unknown attempt a run may be that
+    # one's, so that only calls that were refused throughout prove a false refusal.
+    refused = all(
+        attempt.verdict is Verdict.REFUSED_NOT_RUN for attempt in call.attempts
+    )
+    return bool(call.attempts) and refused and runs.count(call) > 0
+
+
+def _answered_without_run(call, runs):
+    return call.verdict is Verdict.ANSWERED and runs.count(call) == 0
