Change expert maps so that no step runs on mixed maps

Cause: a rank that changes its map while another has not yet makes the group step on two maps; a controller that dies in between may hold the group for ever. Ruled out: a change at a future step number (a rank that missed the message mixes maps). Change: orders with fencing numbers, a gate before each rank's engine, the controller's change and recovery written straight down, and an explorer that runs that code through every pair of faults at every pause of the controller. The transport of the orders between daemons is not there yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.installed
 
-.PHONY: test demo format generate clean
+.PHONY: test demo explore format generate clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,9 @@
 demo: $(READY)
 	$(BIN)/python scripts/demo.py
 
+explore: $(READY)
+	$(BIN)/python scripts/explore_map_change.py
+
 format: $(READY)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/siskinthread/experts/__init__.py
+++ b/siskinthread/experts/__init__.py
@@ -2,20 +2,47 @@
 
 from siskinthread.experts._estimates import Estimates
 from siskinthread.experts._expert_map import ExpertMap
+from siskinthread.experts._map_change import ChangeResult, MapChange
+from siskinthread.experts._orders import (
+    Done,
+    Hold,
+    Order,
+    OrderNumber,
+    Promise,
+    RankState,
+    Refused,
+    Release,
+    Stage,
+    Switch,
+)
 from siskinthread.experts._planner import Objective, Plan, Planner, Verdict
+from siskinthread.experts._rank_gate import RankGate
 from siskinthread.experts._recomputation import recompute_map
 from siskinthread.experts._search import Search, Step
 from siskinthread.experts._settings import PlannerSettings
 
 __all__ = [
+    "ChangeResult",
+    "Done",
     "Estimates",
     "ExpertMap",
+    "Hold",
+    "MapChange",
     "Objective",
+    "Order",
+    "OrderNumber",
     "Plan",
     "Planner",
     "PlannerSettings",
+    "Promise",
+    "RankGate",
+    "RankState",
+    "Refused",
+    "Release",
     "Search",
+    "Stage",
     "Step",
+    "Switch",
     "Verdict",
     "recompute_map",
 ]
