Fold published configuration from the log and publish it at most once

Cause: operators race one another, appends lose their answers or land late, the log keeps records for a limited time and has outages, and programs of two versions run at once; all of that must lead to one state everywhere that never reverts. A thousand processes that poll the log would be more reads than it is made for.

Ruled out: a lock or lease for operators (the expected version, judged by the fold, does without); forgetting record ids by age alone (one forward jump of the log's clock would forget all); going by what a program knows of a record's format (two versions would fold differently); homes of a key by the moment of asking (a retry after a placement change would reach another host than the first try); comparing peers by offset alone (two histories of a log that lost its tail look alike); gossip and push between peers (a bound on the last node's delay is hard to give, and a second way is needed anyway).

Not covered: docs/design/configuration.md, last section; the daemons don't carry the peers' messages yet.

--- a/siskinthread/configuration/__init__.py
+++ b/siskinthread/configuration/__init__.py
@@ -1,5 +1,14 @@
-"""Published configuration: objects, selectors, records and the state they fold to."""
+"""Published configuration: objects, selectors, records and the state they fold to.
 
+``follow_log(client, view, settings, clock, metrics)`` is the task that every daemon
+runs; ``settings`` is a `siskinthread.platform.PlatformSettings`.  A daemon whose peers
+ask it makes a `LogFollower` instead, whose ``run()`` is that task, and gives their
+``ConfigurationRequest`` to its ``answer(request)``; `Peers` is how it asks them.
+"""
+
+from siskinthread.configuration._exchange import Peers
+from siskinthread.configuration._follower import follow_log, LogFollower
+from siskinthread.configuration._homes import HOMES_SETTLE_S
 from siskinthread.configuration._objects import (
     Account,
     Host,
@@ -9,19 +18,28 @@
     Policy,
     Service,
 )
+from siskinthread.configuration._peers import chosen_readers
 from siskinthread.configuration._selector import Selector
-from siskinthread.configuration._state import State
+from siskinthread.configuration._settings import ConfigurationSettings
+from siskinthread.configuration._state import digest_key, State
 from siskinthread.configuration._view import ConfigurationView
 
 __all__ = [
+    "HOMES_SETTLE_S",
     "Account",
+    "ConfigurationSettings",
     "ConfigurationView",
     "Host",
     "Limits",
+    "LogFollower",
     "ModelGroup",
+    "Peers",
     "Placement",
     "Policy",
     "Selector",
     "Service",
     "State",
+    "chosen_readers",
+    "digest_key",
+    "follow_log",
 ]
--- a/siskinthread/configuration/_objects.py
+++ b/siskinthread/configuration/_objects.py
@@ -209,3 +209,21 @@
         self.requests_per_s = requests_per_s
         self.tokens_per_s = tokens_per_s
         self.burst_s = burst_s
+
+
+# The kinds by the name of their list in files and records.
+KINDS = {
+    "hosts": Host,
+    "services": Service,
+    "groups": ModelGroup,
+    "accounts": Account,
+    "placements": Placement,
+    "policies": Policy,
+    "limits": Limits,
+}
+_KIND_NAMES = {configured_class: kind for kind, configured_class in KINDS.items()}
+
+
+def kind_of(configured):
+    """Return the name of an object's kind, for example ``"hosts"``."""
+    return _KIND_NAMES[type(configured)]
--- /dev/null
+++ b/siskinthread/configuration/_operators.py
@@ -0,0 +1,133 @@
+"""Entry points of the operators' commands: settings and files in, a report out."""
+
+import random
+
+import curio
+
+from siskinthread.configuration._files import ConfigurationFiles
+from siskinthread.configuration._operations import (
+    check_consistency,
+    publish,
+    read_published,
+)
+from siskinthread.configuration._planning import (
+    find_warnings,
+    make_plan,
+    planned_tables,
+)
+from siskinthread.configuration._reports import (
+    report_check,
+    report_history,
+    report_outcome,
+    report_plan,
+    report_state,
+)
+from siskinthread.configuration._state import State
+from siskinthread.errors import DocumentError
+from siskinthread.platform import LogClient
+from siskinthread.timing import Deadline, SYSTEM_CLOCK
+
+
+def read_files(texts):
+    """Return `ConfigurationFiles` of pairs of text and file name.
+
+    Raises
+    ------
+    DocumentError
+        With every problem of all files.
+    """
+    files = ConfigurationFiles()
+    for text, source_name in texts:
+        files.add(text, source_name)
+    if files.problems:
+        raise DocumentError(files.problems)
+    return files
+
+
+def check_files(texts, settings, replace):
+    """Return the report of a check of files.
+
+    Parameters
+    ----------
+    texts : list of tuple of str
+        Pairs of text and file name.
+    settings : OperatorSettings or None
+        The log whose state the files are checked with; None to check them as a whole
+        configuration of their own.
+    replace : bool
+        As for `make_plan`.
+    """
+    files = ConfigurationFiles()
+    for text, source_name in texts:
+        files.add(text, source_name)
+    if files.problems:
+        # What can't be read would make half of the following checks wrong.
+        return report_check(files.problems, [])
+    state = State(-1, []) if settings is None else _fold(settings).state
+    tables = planned_tables(files, state, replace)
+    problems = files.find_inconsistencies(tables)
+    return report_check(problems, files.find_idle_selectors(tables))
+
+
+def diff_files(texts, settings, replace):
+    """Return the report of what files would change."""
+    files = read_files(texts)
+    state = _fold(settings).state
+    tables = check_consistency(files, state, replace)
+    report = report_plan(make_plan(files, state, replace), state)
+    return report.with_warnings(find_warnings(files, state, tables))
+
+
+def publish_files(settings, request):
+    """Publish; return the report of the outcome."""
+    publication = _run(settings, publish, request)
+    return report_outcome(publication.outcome).with_warnings(publication.warnings)
+
+
+def show_state(settings, kind, name):
+    """Return the report of the published state."""
+    return report_state(_fold(settings), kind, name)
+
+
+def show_history(settings, last, record_id):
+    """Return the report of the last records, or of those with one id."""
+    verdicts = _run(settings, _read_history).verdicts
+    if record_id is not None:
+        verdicts = [
+            verdict
+            for verdict in verdicts
+            if verdict.change is not None
+            and record_id in (verdict.change.record_id, _name_of(verdict.change))
+        ]
+    return report_history(verdicts[-last:])
+
+
+def _name_of(change):
+    return change.record_id.partition(".")[0]
+
+
+def _fold(settings):
+    return _run(settings, _read).fold
+
+
+async def _read(client, settings, deadline, source):
+    return await read_published(client, settings, deadline, source)
+
+
+async def _read_history(client, settings, deadline, source):
+    return await read_published(client, settings, deadline, source, whole_history=True)
+
+
+def _run(settings, operation, *arguments):
+    return curio.run(_with_client, settings, operation, arguments)
+
+
+async def _with_client(settings, operation, arguments):
+    client = LogClient(settings)
+    deadline = Deadline.after(SYSTEM_CLOCK, settings.deadline_s)
+    try:
+        return await operation(
+            client, settings, *arguments, deadline, random.SystemRandom()
+        )
+    finally:
+        await client.close()
