Dispatch requests with true outcomes over their attempts

A request may take several attempts, and the outcome of the last one is not that of the whole: after an attempt of unknown outcome, a refusal by the next target does not make the request "not run".

Ruled out: the last outcome (untrue), retries that targets filter (plain services don't), hedging (doubles work under load), a local "not run" for a request with an idempotency key (its retry may meet another entry after it ran).

A non-idempotent request is sent again only after a refusal, a key only to its home after wrong_home, an idempotent request only while nothing was shown. A refusal of a key that does not rest on its home's ledger is told as unknown. An idempotent request leaves an agent whose link has been down for half a second.

--- a/siskinthread/dispatch/__init__.py
+++ b/siskinthread/dispatch/__init__.py
@@ -6,6 +6,9 @@
 called again) and ``async cancel()``.
 """
 
+from siskinthread.dispatch._answer import Answer
+from siskinthread.dispatch._dispatcher import Dispatcher
 from siskinthread.dispatch._messages import CallerRequest
+from siskinthread.dispatch._settings import DispatchSettings
 
-__all__ = ["CallerRequest"]
+__all__ = ["Answer", "CallerRequest", "DispatchSettings", "Dispatcher"]
--- /dev/null
+++ b/siskinthread/dispatch/_answer.py
@@ -0,0 +1,292 @@
+"""The attempts of one request, and the events of its one answer."""
+
+from collections import deque
+from functools import singledispatch
+
+import curio
+
+from siskinthread.dispatch._attempt import Attempt
+from siskinthread.dispatch._merging import merge_ends
+from siskinthread.dispatch._retrying import (
+    come_back_after_s,
+    is_repeatable,
+    is_vouched,
+    Retry,
+    retry_after_end,
+    unvouched_end,
+)
+from siskinthread.errors import InvariantError
+from siskinthread.observability import part_logger
+from siskinthread.outcomes import End, Head, Outcome, Part, Reason
+from siskinthread.timing import Deadline
+
+_logger = part_logger("dispatch")
+
+
+class Answer:
+    """The answer to one request, from however many attempts.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        The parts that attempts need.
+    request : CallerRequest
+        The request.
+
+    Notes
+    -----
+    One task reads the events.  Of a request that may be repeated, the head is held back
+    until the first byte of the body is there: a target that fails between the two can
+    then still be replaced by another without the caller noticing.
+    """
+
+    __slots__ = (
+        "_attempt",
+        "_attempt_count",
+        "_begun_at_s",
+        "_cancelled",
+        "_dispatcher",
+        "_earlier_end",
+        "_ended",
+        "_held_head",
+        "_pending",
+        "_request",
+        "_shown",
+        "_stream",
+        "_tried_hosts",
+        "_vouched",
+    )
+
+    def __init__(self, dispatcher, request):
+        self._dispatcher = dispatcher
+        self._request = request
+        self._begun_at_s = dispatcher.clock.monotonic_s()
+        self._attempt = None
+        self._attempt_count = 0
+        self._tried_hosts = set()
+        self._earlier_end = None
+        self._held_head = None
+        self._pending = deque()
+        self._shown = False
+        self._stream = None
+        self._vouched = False
+        self._cancelled = False
+        self._ended = False
+        dispatcher.measures.began()
+
+    async def next_event(self):
+        """Return the next event; after `End` there is none.
+
+        Returns
+        -------
+        Head, Part or End
+            Bytes returned earlier count as written to the caller.
+
+        Raises
+        ------
+        InvariantError
+            If it is called after the end.
+        """
+        while not self._pending:
+            if self._stream is not None:
+                # Most events are parts of a stream that is under way; every function
+                # that they pass through costs processor time for every token.
+                event = await self._stream.next_event()
+                if type(event) is Part:
+                    return event
+                await self._take(event)
+            elif self._ended:
+                raise InvariantError("an answer was read past its end")
+            else:
+                await self._proceed()
+        return self._pending.popleft()
+
+    async def cancel(self):
+        """Drop the answer, since its caller left; harmless after the end."""
+        if self._ended:
+            return
+        self._cancelled = True
+        attempt = self._attempt
+        if attempt is None:
+            self._finish(self._end_of_cancelled())
+            return
+        self._end_attempt(End(Outcome.UNKNOWN, Reason.CANCELLED, "The caller left."))
+        self._finish(self._earlier_end)
+        await attempt.cancel()
+
+    async def _proceed(self):
+        if self._attempt is None and not await self._begin_attempt():
+            return
+        if is_repeatable(self._request) and not self._shown:
+            event = await self._attempt.next_event_unless_lost()
+        else:
+            event = await self._attempt.exchange.next_event()
+        await self._take(event)
+
+    async def _take(self, event):
+        if self._cancelled:
+            return
+        if type(event) is not End:
+            _show(event, self)
+            return
+        self._end_attempt(event)
+        if not await self._may_go_on(event) and not self._cancelled:
+            self._finish(self._earlier_end)
+
+    async def _begin_attempt(self):
+        await self._wait_for_link()
+        if self._cancelled:
+            return False
+        # The target and the version of the homes that the frame states have to come
+        # from one state, hence no await between the two.
+        state = self._dispatcher.view.state
+        refusal = self._refusal_before_choice(state)
+        host = None if refusal else self._choose_host()
+        if host is None:
+            self._finish(self._earlier_end or refusal or self._no_target())
+            return False
+        self._attempt_count += 1
+        self._tried_hosts.add(host)
+        attempt = self._attempt = Attempt(self._dispatcher, self._request, host)
+        await attempt.start(state)
+        if self._cancelled:
+            # While it was being started, there was nothing to cancel yet.
+            await attempt.cancel()
+            return False
+        return True
+
+    async def _wait_for_link(self):
+        # A link that is being replaced is back within milliseconds.  A key has no other
+        # target to go to; and an entry that was paused finds all of its links closed
+        # when it goes on, and would refuse everything that came meanwhile.
+        settings = self._dispatcher.settings
+        half_left_s = self._request.deadline.left_s() / 2
+        wait_s = min(settings.link_wait_s, half_left_s)
+        limit = Deadline.after(self._dispatcher.clock, wait_s)
+        while self._waits_for_link() and not limit.passed():
+            await curio.sleep(min(settings.link_check_interval_s, limit.left_s()))
+
+    def _waits_for_link(self):
+        if self._request.idempotency_key is not None:
+            return self._choose_host() is None
+        return not self._dispatcher.links.connected_hosts()
+
+    def _refusal_before_choice(self, state):
+        if state is None:
+            message = "No configuration is known yet."
+            return End(Outcome.REFUSED_NOT_RUN, Reason.NOT_READY, message)
+        if self._request.deadline.passed():
+            message = "The deadline passed before a target got the request."
+            return End(Outcome.REFUSED_NOT_RUN, Reason.DEADLINE_PASSED, message)
+        return None
+
+    def _choose_host(self):
+        keyed = self._request.idempotency_key is not None
+        excluded = frozenset() if keyed else self._tried_hosts
+        host = self._dispatcher.router.choose(self._request, excluded)
+        # Handed to a link that is down, the request would wait there; the caller would
+        # hear "not run" too late to go anywhere else.
+        return host if self._dispatcher.is_connected(host) else None
+
+    def _no_target(self):
+        message = "No target can take the request now."
+        return End(Outcome.REFUSED_NOT_RUN, Reason.NO_TARGET, message)
+
+    def _end_of_cancelled(self):
+        message = "The caller left before a target got the request."
+        refusal = End(Outcome.REFUSED_NOT_RUN, Reason.CANCELLED, message)
+        return self._earlier_end or refusal
+
+    def _end_attempt(self, end):
+        attempt = self._attempt
+        self._attempt = None
+        self._stream = None
+        attempt.finish(end.outcome)
+        self._dispatcher.measures.attempt_ended(end)
+        if end.outcome is Outcome.ANSWERED:
+            self._show_held_head()
+        else:
+            self._held_head = None
+            self._log_attempt(attempt, end)
+        self._vouched = is_vouched(end, attempt.written)
+        self._earlier_end = merge_ends(self._earlier_end, end)
+
+    async def _may_go_on(self, end):
+        settings = self._dispatcher.settings
+        retry = retry_after_end(self._request, end, self._shown)
+        if retry is Retry.NO or self._attempt_count >= settings.attempt_limit:
+            return False
+        wait_s = self._dispatcher.back_off_s(retry, self._attempt_count)
+        if wait_s >= self._request.deadline.left_s():
+            return False
+        if not self._dispatcher.retry_budget.try_spend():
+            return False
+        self._dispatcher.measures.retried(end)
+        await curio.sleep(wait_s)
+        return True
+
+    def _finish(self, end):
+        self._ended = True
+        if end.outcome is not Outcome.ANSWERED:
+            end = self._with_retry_after(self._with_known_history(end))
+        self._pending.append(end)
+        self._dispatcher.measures.ended(end)
+        _logger.info(
+            "Request %s ended %s, reason %s, attempts %d, took %.3f s.",
+            self._request.request_id,
+            end.outcome.label,
+            end.reason,
+            self._attempt_count,
+            self._dispatcher.clock.monotonic_s() - self._begun_at_s,
+        )
+
+    def _with_known_history(self, end):
+        keyed = self._request.idempotency_key is not None
+        if not keyed or end.outcome is not Outcome.REFUSED_NOT_RUN or self._vouched:
+            return end
+        return unvouched_end(end)
+
+    def _with_retry_after(self, end):
+        default_s = self._dispatcher.settings.retry_after_s
+        wait_s = come_back_after_s(self._request, end, default_s)
+        return End(end.outcome, end.reason, end.message, end.length_bytes, wait_s)
+
+    def _log_attempt(self, attempt, end):
+        _logger.info(
+            "Attempt %d of request %s on %s ended %s, reason %s.",
+            self._attempt_count,
+            self._request.request_id,
+            attempt.host,
+            end.outcome.label,
+            end.reason,
+        )
+
+    def _show_held_head(self):
+        if self._held_head is not None:
+            self._pending.append(self._held_head)
+            self._held_head = None
+            self._shown = True
+
+
+@singledispatch
+def _show(event, answer):
+    """Put an event of an attempt among those that the caller sees."""
+    raise InvariantError(f"unexpected event {event!r}")
+
+
+@_show.register
+def _(event: Head, answer):
+    answer._held_head = event
+    if not is_repeatable(answer._request):
+        answer._show_held_head()
+
+
+@_show.register
+def _(event: Part, answer):
+    answer._show_held_head()
+    answer._pending.append(event)
+    answer._shown = True
+    answer._stream = answer._attempt.exchange
+    answer._attempt.note_first_byte()
+    now_s = answer._dispatcher.clock.monotonic_s()
+    answer._dispatcher.measures.first_byte(now_s - answer._begun_at_s)
