Run the entry daemon under supervision

A task that dies of an error nobody foresaw would leave the process running without it: the configuration would stand still, or links would not be replaced.

Ruled out: ending the process (only a broken invariant may), an event set from a signal handler (the handler can run while the loop holds the event's lock).

Tasks are started again after a wait that doubles; an InvariantError ends the process; stop signals arrive through the interpreter's wake-up socket, and the tasks still run while the process drains.

--- /dev/null
+++ b/siskinthread/daemons/_entry.py
@@ -0,0 +1,175 @@
+"""The entry daemon: takes callers' requests and passes them to agents."""
+
+import random
+
+import curio
+
+from siskinthread.admission import Admission, RetryBudget
+from siskinthread.callers import CallerServer
+from siskinthread.configuration import ConfigurationView, follow_log
+from siskinthread.daemons._supervision import run_until_stopped
+from siskinthread.dispatch import Dispatcher
+from siskinthread.links import AgentLinks
+from siskinthread.membership import follow_host_list, MembershipView
+from siskinthread.observability import Metrics, part_logger, set_up_logging
+from siskinthread.platform import HostListClient, LogClient
+from siskinthread.routing import Router, subset_of
+from siskinthread.settings import Address
+from siskinthread.timing import Deadline, SYSTEM_CLOCK
+from siskinthread.wire import Identity
+
+ENTRY_ROLE = "entry"
+BACKLOG = 1024
+
+_logger = part_logger("daemons")
+
+
+def run_entry(settings):
+    """Run the entry until a stop signal; what is in flight then is finished first.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Everything that the process is told.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    output = set_up_logging(settings.logging)
+    try:
+        curio.run(Entry(settings).run)
+    finally:
+        output.close()
+    return 0
+
+
+class Entry:
+    """The parts of an entry process.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Everything that the process is told.
+    """
+
+    __slots__ = ("_links", "_membership", "_metrics", "_server", "_settings", "_view")
+
+    def __init__(self, settings):
+        clock = SYSTEM_CLOCK
+        self._settings = settings
+        self._metrics = Metrics()
+        self._view = ConfigurationView()
+        self._membership = MembershipView(settings.membership, clock)
+        self._links = AgentLinks(
+            Identity(settings.host, settings.failure_domain, ENTRY_ROLE),
+            settings.peers,
+            clock,
+            self._metrics,
+        )
+        self._membership.is_connected = self._is_connected
+        self._membership.listen(self._reconcile_links)
+        self._server = self._build_server(clock)
+
+    async def run(self):
+        """Run until a stop signal and the drain after it."""
+        _logger.info("Entry %s starts.", self._settings.host)
+        tasks = {
+            "links": self._links.run,
+            "callers": self._serve_callers,
+            "configuration": self._follow_log,
+            "membership": self._follow_host_list,
+        }
+        await run_until_stopped(tasks, self._drain)
+
+    def _build_server(self, clock):
+        settings = self._settings
+        metrics = self._metrics
+        router = Router(
+            settings.routing,
+            settings.failure_domain,
+            self._view,
+            self._membership,
+            self._links,
+            clock,
+            metrics,
+            random.Random(),
+        )
+        dispatcher = Dispatcher(
+            settings.dispatch,
+            self._view,
+            self._links,
+            router,
+            RetryBudget(settings.admission, clock),
+            clock,
+            metrics,
+        )
+        admission = Admission(
+            settings.admission,
+            self._view,
+            self._membership,
+            clock,
+            metrics,
+            target_load=router.service_load,
+        )
+        return CallerServer(
+            settings.callers,
+            self._view,
+            dispatcher,
+            admission,
+            clock,
+            metrics,
+            connected_hosts=self._links.connected_hosts,
+        )
+
+    async def _serve_callers(self):
+        # The server closes its socket when it ends, so that a run after an error needs
+        # another one.
+        address = self._settings.callers_listen
+        listening = curio.network.tcp_server_socket(
+            address.host, address.port, backlog=BACKLOG
+        )
+        _logger.info("Callers are served on %s:%d.", *listening.getsockname())
+        await self._server.run(listening)
+
+    async def _follow_log(self):
+        await follow_log(
+            LogClient(self._settings.platform),
+            self._view,
+            self._settings.platform,
+            SYSTEM_CLOCK,
+            self._metrics,
+            configuration=self._settings.configuration,
+        )
+
+    async def _follow_host_list(self):
+        await follow_host_list(
+            HostListClient(self._settings.platform),
+            self._membership,
+            self._settings.platform,
+            SYSTEM_CLOCK,
+            self._metrics,
+        )
+
+    def _is_connected(self, host):
+        status = self._links.status(host)
+        return status is not None and status.connected
+
+    def _reconcile_links(self, membership):
+        agents = membership.agents()
+        hosts = subset_of(
+            self._settings.host,
+            agents,
+            membership.failure_domain,
+            self._settings.failure_domain,
+            self._settings.routing.subset_size,
+        )
+        self._links.reconcile(
+            {host: Address(agents[host].address, agents[host].port) for host in hosts}
+        )
+
+    async def _drain(self):
+        limit_s = self._settings.drain_limit_s
+        if not await self._server.drain(Deadline.after(SYSTEM_CLOCK, limit_s)):
+            _logger.warning("Requests were still in flight at the drain limit.")
--- /dev/null
+++ b/siskinthread/daemons/tests/test_supervision.py
@@ -0,0 +1,94 @@
+"""Tests of supervision and of stopping."""
+
+import os
+import signal
+
+import curio
+import pytest
+
+from siskinthread.daemons import _supervision
+from siskinthread.daemons._supervision import (
+    run_until_stopped,
+    supervise,
+    wait_for_stop_signal,
+)
+from siskinthread.errors import InvariantError
+
+
+@pytest.fixture(autouse=True)
+def no_restart_wait(monkeypatch):
+    """Restart at once."""
+    monkeypatch.setattr(_supervision, "FIRST_RESTART_WAIT_S", 0.0)
+
+
+@pytest.mark.parametrize("error", [ValueError("odd"), curio.TaskTimeout(1.0)], ids=repr)
+def test_task_that_died_of_an_error_runs_again(error):
+    """One task's error does not end it for good.
+
+    Symptom: an entry serves on an old configuration for hours.  Sequence: the log
+    answers something nobody foresaw, the task that follows it raises.  Cause: nobody
+    starts it again.
+    """
+    errors = [error, error]
+
+    async def fail_twice():
+        if errors:
+            raise errors.pop()
+        return "done"
+
+    assert curio.run(supervise, "task", fail_twice) == "done"
+
+
+def test_broken_invariant_stops_the_process():
+    """A broken invariant ends every task and is raised."""
+    ended = []
+
+    async def run_for_ever():
+        try:
+            await curio.Event().wait()
+        finally:
+            ended.append("other task")
+
+    async def break_invariant():
+        raise InvariantError("broken")
+
+    async def drain():
+        ended.append("drained")
+
+    tasks = {"other": run_for_ever, "broken": break_invariant}
+    with pytest.raises(InvariantError):
+        curio.run(run_until_stopped, tasks, drain)
+    assert ended == ["other task"]
+
+
+@pytest.mark.parametrize("number", _supervision.STOP_SIGNALS)
+def test_stop_signal_drains_before_the_tasks_end(number):
+    """Tasks still run while the drain waits for what is in flight."""
+    events = []
+
+    async def run_for_ever():
+        os.kill(os.getpid(), number)
+        try:
+            await curio.Event().wait()
+        finally:
+            events.append("ended")
+
+    async def drain():
+        events.append("drained")
+
+    curio.run(run_until_stopped, {"task": run_for_ever}, drain)
+    assert events == ["drained", "ended"]
+
+
+def test_signal_handling_is_restored():
+    """After the wait, signals do again what they did before."""
+    before = [signal.getsignal(number) for number in _supervision.STOP_SIGNALS]
+
+    async def main():
+        waiting = await curio.spawn(wait_for_stop_signal)
+        await curio.sleep(0)
+        await waiting.cancel()
+
+    curio.run(main)
+    after = [signal.getsignal(number) for number in _supervision.STOP_SIGNALS]
+    assert after == before
