Carry published configuration in frames and hook in its commands

Cause: the daemons need frames for records from peers, and operators the commands. Ruled out: a thrift file of its own, included; the generated import runs in a circle with the package that exports it. Change: configuration messages and a heartbeat field in frames.thrift; config commands in the tree.

--- a/siskinthread/command_line/_root.py
+++ b/siskinthread/command_line/_root.py
@@ -4,6 +4,7 @@
 
 import cappa
 
+from siskinthread.command_line._config import ConfigCommand
 from siskinthread.command_line._daemons import AgentCommand, EntryCommand
 from siskinthread.command_line._settings import SettingsCommand
 
@@ -12,6 +13,7 @@
 Commands = (
     EntryCommand
     | AgentCommand
+    | ConfigCommand
     | SettingsCommand
 )  # fmt: skip
 
--- a/siskinthread/wire/__init__.py
+++ b/siskinthread/wire/__init__.py
@@ -6,10 +6,14 @@
 """
 
 from siskinthread.wire._channel import Channel, open_channel
-from siskinthread.wire._codec import encode_frame, FrameDecoder
+from siskinthread.wire._codec import encode_frame, FrameDecoder, message_of
 from siskinthread.wire._generated.frames.ttypes import (
     Acknowledge,
     CancelRequest,
+    ConfigurationRecord,
+    ConfigurationRequest,
+    ConfigurationStatus,
+    ConfigurationUpdate,
     Frame,
     Header,
     Heartbeat,
@@ -32,6 +36,10 @@
     "Acknowledge",
     "CancelRequest",
     "Channel",
+    "ConfigurationRecord",
+    "ConfigurationRequest",
+    "ConfigurationStatus",
+    "ConfigurationUpdate",
     "Frame",
     "FrameDecoder",
     "Header",
@@ -49,6 +57,7 @@
     "ResumeRequest",
     "StartRequest",
     "encode_frame",
+    "message_of",
     "open_channel",
     "shake_hands",
 ]
--- a/siskinthread/wire/_generated/frames/ttypes.py
+++ b/siskinthread/wire/_generated/frames/ttypes.py
@@ -482,18 +482,21 @@
     Attributes:
      - sequence
      - load
+     - configuration_offset: Last configuration record that the sender folded; absent before the first.
 
     """
 
     __slots__ = (
         'sequence',
         'load',
+        'configuration_offset',
     )
 
 
-    def __init__(self, sequence=None, load=None,):
+    def __init__(self, sequence=None, load=None, configuration_offset=None,):
         self.sequence = sequence
         self.load = load
+        self.configuration_offset = configuration_offset
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -515,6 +518,11 @@
                     self.load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.configuration_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -533,6 +541,10 @@
             oprot.writeFieldBegin('load', TType.STRUCT, 2)
             self.load.write(oprot)
             oprot.writeFieldEnd()
+        if self.configuration_offset is not None:
+            oprot.writeFieldBegin('configuration_offset', TType.I64, 3)
+            oprot.writeI64(self.configuration_offset)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1520,6 +1532,424 @@
         return not (self == other)
 
 
+class ConfigurationStatus(object):
+    """
+    What a process holds of the configuration stream.
+
+    Attributes:
+     - applied_offset: Last record that was folded; -1 for none.
+     - chain: Digest over all records up to it; differs if the histories do.
+     - confirmed_age_ms: Time since the log was last known to hold nothing newer; absent if never.
+     - snapshot_offset: Offset that the newest complete snapshot in the log stands for, if one is known.
+
+    """
+
+    __slots__ = (
+        'applied_offset',
+        'chain',
+        'confirmed_age_ms',
+        'snapshot_offset',
+    )
+
+
+    def __init__(self, applied_offset=None, chain=None, confirmed_age_ms=None, snapshot_offset=None,):
+        self.applied_offset = applied_offset
+        self.chain = chain
+        self.confirmed_age_ms = confirmed_age_ms
+        self.snapshot_offset = snapshot_offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.applied_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.chain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.confirmed_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.snapshot_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationStatus')
+        if self.applied_offset is not None:
+            oprot.writeFieldBegin('applied_offset', TType.I64, 1)
+            oprot.writeI64(self.applied_offset)
+            oprot.writeFieldEnd()
+        if self.chain is not None:
+            oprot.writeFieldBegin('chain', TType.STRING, 2)
+            oprot.writeString(self.chain.encode('utf-8') if sys.version_info[0] == 2 else self.chain)
+            oprot.writeFieldEnd()
+        if self.confirmed_age_ms is not None:
+            oprot.writeFieldBegin('confirmed_age_ms', TType.I64, 3)
+            oprot.writeI64(self.confirmed_age_ms)
+            oprot.writeFieldEnd()
+        if self.snapshot_offset is not None:
+            oprot.writeFieldBegin('snapshot_offset', TType.I64, 4)
+            oprot.writeI64(self.snapshot_offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationRecord(object):
+    """
+    Attributes:
+     - offset
+     - at_ms
+     - body
+     - digest: In place of the body of a part of a snapshot, which changes nothing: its digest.
+
+    """
+
+    __slots__ = (
+        'offset',
+        'at_ms',
+        'body',
+        'digest',
+    )
+
+
+    def __init__(self, offset=None, at_ms=None, body=None, digest=None,):
+        self.offset = offset
+        self.at_ms = at_ms
+        self.body = body
+        self.digest = digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationRecord')
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 1)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.I64, 2)
+            oprot.writeI64(self.at_ms)
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 3)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 4)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationRequest(object):
+    """
+    Asks for what lies behind the asker's status.
+
+    Attributes:
+     - status
+
+    """
+
+    __slots__ = (
+        'status',
+    )
+
+
+    def __init__(self, status=None,):
+        self.status = status
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.status = ConfigurationStatus()
+                    self.status.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationRequest')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.STRUCT, 1)
+            self.status.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationUpdate(object):
+    """
+    Either records behind the status that was asked about, or a whole snapshot.
+
+    Attributes:
+     - status: Of the answering process.
+     - base: The asker's status, as it was asked about.
+     - records
+     - snapshot: Bodies of all parts of a snapshot, if the records are no longer kept.
+     - diverged: True if the answerer's history differs from the asker's.
+
+    """
+
+    __slots__ = (
+        'status',
+        'base',
+        'records',
+        'snapshot',
+        'diverged',
+    )
+
+
+    def __init__(self, status=None, base=None, records=None, snapshot=None, diverged=None,):
+        self.status = status
+        self.base = base
+        self.records = records
+        self.snapshot = snapshot
+        self.diverged = diverged
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.status = ConfigurationStatus()
+                    self.status.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.base = ConfigurationStatus()
+                    self.base.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = ConfigurationRecord()
+                        _elem26.read(iprot)
+                        self.records.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.snapshot = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readBinary()
+                        self.snapshot.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.diverged = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationUpdate')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.STRUCT, 1)
+            self.status.write(oprot)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.STRUCT, 2)
+            self.base.write(oprot)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter33 in self.records:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.snapshot is not None:
+            oprot.writeFieldBegin('snapshot', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.snapshot))
+            for iter34 in self.snapshot:
+                oprot.writeBinary(iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.diverged is not None:
+            oprot.writeFieldBegin('diverged', TType.BOOL, 5)
+            oprot.writeBool(self.diverged)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1534,6 +1964,8 @@
      - part
      - end
      - leaving
+     - configuration_request
+     - configuration_update
 
     """
 
@@ -1549,10 +1981,12 @@
         'part',
         'end',
         'leaving',
+        'configuration_request',
+        'configuration_update',
     )
 
 
-    def __init__(self, hello=None, proof=None, heartbeat=None, start=None, resume=None, acknowledge=None, cancel=None, head=None, part=None, end=None, leaving=None,):
+    def __init__(self, hello=None, proof=None, heartbeat=None, start=None, resume=None, acknowledge=None, cancel=None, head=None, part=None, end=None, leaving=None, configuration_request=None, configuration_update=None,):
         self.hello = hello
         self.proof = proof
         self.heartbeat = heartbeat
@@ -1564,6 +1998,8 @@
         self.part = part
         self.end = end
         self.leaving = leaving
+        self.configuration_request = configuration_request
+        self.configuration_update = configuration_update
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1640,6 +2076,18 @@
                     self.leaving.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.configuration_request = ConfigurationRequest()
+                    self.configuration_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.configuration_update = ConfigurationUpdate()
+                    self.configuration_update.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1694,6 +2142,14 @@
             oprot.writeFieldBegin('leaving', TType.STRUCT, 11)
             self.leaving.write(oprot)
             oprot.writeFieldEnd()
+        if self.configuration_request is not None:
+            oprot.writeFieldBegin('configuration_request', TType.STRUCT, 12)
+            self.configuration_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.configuration_update is not None:
+            oprot.writeFieldBegin('configuration_update', TType.STRUCT, 13)
+            self.configuration_update.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1755,6 +2211,7 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 2
+    (3, TType.I64, 'configuration_offset', None, None, ),  # 3
 )
 all_structs.append(StartRequest)
 StartRequest.thrift_spec = (
@@ -1829,6 +2286,36 @@
     None,  # 0
     (1, TType.I64, 'time_left_ms', None, None, ),  # 1
 )
+all_structs.append(ConfigurationStatus)
+ConfigurationStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'applied_offset', None, None, ),  # 1
+    (2, TType.STRING, 'chain', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'confirmed_age_ms', None, None, ),  # 3
+    (4, TType.I64, 'snapshot_offset', None, None, ),  # 4
+)
+all_structs.append(ConfigurationRecord)
+ConfigurationRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'offset', None, None, ),  # 1
+    (2, TType.I64, 'at_ms', None, None, ),  # 2
+    (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'digest', 'UTF8', None, ),  # 4
+)
+all_structs.append(ConfigurationRequest)
+ConfigurationRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'status', [ConfigurationStatus, None], None, ),  # 1
+)
+all_structs.append(ConfigurationUpdate)
+ConfigurationUpdate.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'status', [ConfigurationStatus, None], None, ),  # 1
+    (2, TType.STRUCT, 'base', [ConfigurationStatus, None], None, ),  # 2
+    (3, TType.LIST, 'records', (TType.STRUCT, [ConfigurationRecord, None], False), None, ),  # 3
+    (4, TType.LIST, 'snapshot', (TType.STRING, 'BINARY', False), None, ),  # 4
+    (5, TType.BOOL, 'diverged', None, None, ),  # 5
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -1843,6 +2330,8 @@
     (9, TType.STRUCT, 'part', [ResponsePart, None], None, ),  # 9
     (10, TType.STRUCT, 'end', [ResponseEnd, None], None, ),  # 10
     (11, TType.STRUCT, 'leaving', [Leaving, None], None, ),  # 11
+    (12, TType.STRUCT, 'configuration_request', [ConfigurationRequest, None], None, ),  # 12
+    (13, TType.STRUCT, 'configuration_update', [ConfigurationUpdate, None], None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/frames.thrift
+++ b/thrift/frames.thrift
@@ -50,6 +50,8 @@
 struct Heartbeat {
   1: i64 sequence,
   2: optional LoadReport load,
+  /** Last configuration record that the sender folded; absent before the first. */
+  3: optional i64 configuration_offset,
 }
 
 struct StartRequest {
@@ -126,6 +128,46 @@
   1: i64 time_left_ms,
 }
 
+// Published configuration, passed on between processes: docs/design/configuration.md.
+
+/** What a process holds of the configuration stream. */
+struct ConfigurationStatus {
+  /** Last record that was folded; -1 for none. */
+  1: i64 applied_offset,
+  /** Digest over all records up to it; differs if the histories do. */
+  2: string chain,
+  /** Time since the log was last known to hold nothing newer; absent if never. */
+  3: optional i64 confirmed_age_ms,
+  /** Offset that the newest complete snapshot in the log stands for, if one is known. */
+  4: optional i64 snapshot_offset,
+}
+
+struct ConfigurationRecord {
+  1: i64 offset,
+  2: i64 at_ms,
+  3: optional binary body,
+  /** In place of the body of a part of a snapshot, which changes nothing: its digest. */
+  4: optional string digest,
+}
+
+/** Asks for what lies behind the asker's status. */
+struct ConfigurationRequest {
+  1: ConfigurationStatus status,
+}
+
+/** Either records behind the status that was asked about, or a whole snapshot. */
+struct ConfigurationUpdate {
+  /** Of the answering process. */
+  1: ConfigurationStatus status,
+  /** The asker's status, as it was asked about. */
+  2: ConfigurationStatus base,
+  3: list<ConfigurationRecord> records,
+  /** Bodies of all parts of a snapshot, if the records are no longer kept. */
+  4: list<binary> snapshot,
+  /** True if the answerer's history differs from the asker's. */
+  5: bool diverged,
+}
+
 union Frame {
   1: Hello hello,
   2: Proof proof,
@@ -138,4 +180,6 @@
   9: ResponsePart part,
   10: ResponseEnd end,
   11: Leaving leaving,
+  12: ConfigurationRequest configuration_request,
+  13: ConfigurationUpdate configuration_update,
 }
