--- /dev/null
+++ b/scripts/_failures.py
@@ -0,0 +1,234 @@
+"""Failure runs: the demo's load while one thing after the other goes wrong.
+
+Each run has a system of its own.  ``python scripts/demo_failures.py`` runs all of them
+or the ones that are named.
+"""
+
+import json
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import curio
+
+from scripts._cluster import Cluster, control
+from scripts._cluster_options import quick_options
+from scripts._load import Callers
+from scripts._mix import Mix
+from scripts._processes import Interrupted, interruptible, Processes, StartError
+from scripts._progress import Progress
+from scripts._verdict import RunVerdict
+
+LOAD_S = 6.0
+DRAFTS_PER_S = 30
+ALERTS_PER_S = 60
+PLAIN_DELAY_MS = 100.0
+"""Long enough that each fault finds several alerts at work."""
+
+FIRST_FAULT_AFTER_S = 1.0
+DETAILS_SHOWN = 8
+PROXIED = ("engine-2", "plain-2")
+RANDOM_RUNS = 4
+
+
+async def kill_plain_agent(cluster):
+    """The gate of non-idempotent work dies and a new one without memory comes."""
+    await _restart(cluster, "plain-1", signal.SIGKILL)
+
+
+async def stop_agents(cluster):
+    """Two agents are stopped as planned, one after the other, and come again."""
+    for name in ("engine-3", "plain-2"):
+        await _restart(cluster, name, signal.SIGTERM)
+
+
+async def kill_entry(cluster):
+    """An entry dies with its callers' connections."""
+    cluster.entries[0].process.kill()
+
+
+async def stop_entry(cluster):
+    """An entry is stopped as planned; nothing in flight may be cut off."""
+    cluster.entries[1].process.send_signal(signal.SIGTERM)
+
+
+async def freeze_entry(cluster):
+    """An entry is paused for longer than every silence limit."""
+    await _freeze(cluster.entries[2], 2.5)
+
+
+async def freeze_agents(cluster):
+    """An agent of each kind is paused, the second while the first still is."""
+    async with curio.TaskGroup() as group:
+        await group.spawn(_freeze, cluster.agent("plain-1"), 3.0)
+        await curio.sleep(1.0)
+        await group.spawn(_freeze, cluster.agent("engine-1"), 2.0)
+
+
+async def freeze_then_kill(cluster):
+    """A paused agent is killed while its starts lie unread in its socket."""
+    node = cluster.agent("plain-1")
+    node.process.freeze()
+    await curio.sleep(0.5)
+    node.process.kill()
+    await curio.sleep(0.5)
+    cluster.start_daemon(node)
+
+
+async def silence_connections(cluster):
+    """All connections to two agents go silent, twice."""
+    for _ in range(2):
+        for name in PROXIED:
+            await _silence(cluster, name)
+        await curio.sleep(2.0)
+
+
+async def lose_plain_answers(cluster):
+    """A plain service runs requests and breaks the connection before the answer."""
+    for name in ("plain-1", "plain-2"):
+        await _set_faults(cluster, name, {"die_before_answer": 5})
+
+
+async def stall_engine(cluster):
+    """An engine makes no token for a while."""
+    await _set_faults(cluster, "engine-1", {"stall": True})
+    await curio.sleep(2.0)
+    await _set_faults(cluster, "engine-1", {"stall": False})
+
+
+async def lose_platform(cluster):
+    """Log and host list are down while an agent is replaced."""
+    platform = cluster.platform
+    for address in (platform.log, platform.host_list):
+        await control(address, "POST", "/faults", {"down": True})
+    await _restart(cluster, "engine-1", signal.SIGKILL)
+    await curio.sleep(1.5)
+    for address in (platform.log, platform.host_list):
+        await control(address, "POST", "/faults", {"down": False})
+
+
+async def empty_host_list(cluster):
+    """The host list answers no host at all."""
+    address = cluster.platform.host_list
+    await control(address, "POST", "/faults", {"empty": True})
+    await curio.sleep(3.0)
+    await control(address, "POST", "/faults", {"empty": False})
+
+
+async def _random_faults(cluster, seed):
+    """Three faults at a time, drawn by seed."""
+    chosen = random.Random(seed).sample(SINGLE_FAULTS, 3)
+    async with curio.TaskGroup() as group:
+        for fault in chosen:
+            await group.spawn(fault, cluster)
+            await curio.sleep(0.5)
+
+
+def _random_run(seed):
+    async def faults(cluster):
+        await _random_faults(cluster, seed)
+
+    return faults
+
+
+SINGLE_FAULTS = (
+    kill_plain_agent,
+    stop_agents,
+    kill_entry,
+    stop_entry,
+    freeze_entry,
+    freeze_agents,
+    freeze_then_kill,
+    silence_connections,
+    lose_plain_answers,
+    stall_engine,
+    lose_platform,
+    empty_host_list,
+)
+RUNS = {
+    **{fault.__name__: fault for fault in SINGLE_FAULTS},
+    **{f"random_{seed}": _random_run(seed) for seed in range(1, RANDOM_RUNS + 1)},
+}
+
+
+async def _restart(cluster, name, number):
+    node = cluster.agent(name)
+    node.process.send_signal(number)
+    while node.process.running():
+        await curio.sleep(0.02)
+    await curio.sleep(0.5)
+    cluster.start_daemon(node)
+
+
+async def _freeze(node, pause_s):
+    node.process.freeze()
+    await curio.sleep(pause_s)
+    node.process.thaw()
+
+
+async def _silence(cluster, name):
+    address = cluster.agent(name).control_address
+    await control(address, "POST", "/silence", {"connections": 100})
+
+
+async def _set_faults(cluster, name, faults):
+    await control(cluster.agent(name).target_address, "POST", "/faults", faults)
+
+
+async def _run(processes, folder, fault):
+    cluster = Cluster(
+        quick_options(proxied=PROXIED, plain_delay_ms=PLAIN_DELAY_MS), processes, folder
+    )
+    await cluster.start()
+    callers = Callers(cluster.entry_addresses, seed=1)
+    async with curio.TaskGroup(wait=all) as group:
+        await group.spawn(_break_later, cluster, fault)
+        await Mix(DRAFTS_PER_S, ALERTS_PER_S, seed=1).send(callers, group, LOAD_S)
+    await callers.close()
+    return RunVerdict(callers.calls, await cluster.ledgers())
+
+
+async def _break_later(cluster, fault):
+    await curio.sleep(FIRST_FAULT_AFTER_S)
+    await fault(cluster)
+
+
+def _run_once(name, progress):
+    """Make one run and return whether nothing happened that must never happen."""
+    folder = Path(tempfile.mkdtemp(prefix=f"siskinthread-{name}-"))
+    with Processes(folder) as processes:
+        verdict = curio.run(_run, processes, folder, RUNS[name])
+    for line in verdict.unusual_lines(DETAILS_SHOWN) + verdict.details:
+        progress.say(f"  {line}")
+    print(json.dumps({"run": name, **verdict.as_json()}), flush=True)
+    if verdict.holds():
+        shutil.rmtree(folder)
+    else:
+        progress.say(f"logs and settings are kept in {folder}")
+    return verdict.holds()
+
+
+def main(names):
+    """Make the named runs, or all of them; exit 1 if one was violated."""
+    progress = Progress()
+    violated = []
+    try:
+        with interruptible():
+            for name in names or RUNS:
+                if not _run_once(name, progress):
+                    violated.append(name)
+    except Interrupted as interruption:
+        progress.say(f"ended by {interruption}")
+        return 130
+    except StartError as error:
+        progress.say(f"could not run: {error}")
+        return 2
+    progress.say(f"violated: {', '.join(violated) or 'none'}")
+    return 1 if violated else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/scripts/_load.py
+++ b/scripts/_load.py
@@ -14,6 +14,9 @@
 MILLISECONDS_PER_SECOND = 1000
 RETRY_WAIT_FIRST_S = 0.1
 RETRY_WAIT_LIMIT_S = 1.0
+ANSWER_GRACE_S = 1.0
+"""Past its deadline a caller listens this long for the word of the system."""
+
 ERROR_EVENT = b"event: error\n"
 
 
@@ -49,15 +52,33 @@
         The system's id of the request.
     answer : scripts._caller_http.RawAnswer
         The answer itself.
+
+    Attributes
+    ----------
+    entry : tuple or None
+        Address of the entry that was asked.
+    started_at_s, ended_at_s : float
+        Begin and end, monotonic seconds.
     """
 
-    __slots__ = ("answer", "reason", "request_id", "verdict")
+    __slots__ = (
+        "answer",
+        "ended_at_s",
+        "entry",
+        "reason",
+        "request_id",
+        "started_at_s",
+        "verdict",
+    )
 
     def __init__(self, verdict, reason, request_id, answer):
         self.verdict = verdict
         self.reason = reason
         self.request_id = request_id
         self.answer = answer
+        self.entry = None
+        self.started_at_s = 0.0
+        self.ended_at_s = 0.0
 
 
 class Call:
@@ -115,8 +136,14 @@
 
     @property
     def verdict(self):
-        """Verdict of the last attempt; UNKNOWN before the first."""
-        return self.attempts[-1].verdict if self.attempts else Verdict.UNKNOWN
+        """Verdict of the last attempt that an entry saw; UNKNOWN before the first.
+
+        That a later attempt found no entry says nothing of the earlier ones.
+        """
+        if not self.attempts:
+            return Verdict.UNKNOWN
+        seen = [attempt for attempt in self.attempts if attempt.answer.sent]
+        return (seen or self.attempts)[-1].verdict
 
     def headers(self):
         """Return the headers, the same for each attempt."""
@@ -184,12 +211,17 @@
     async def _attempt(self, call, address, deadline_s):
         idle = self._idle[address]
         connection = idle.pop() if idle else CallerConnection(address)
-        wait_s = max(0.05, deadline_s - time.monotonic() + 1.0)
+        started_at_s = time.monotonic()
+        wait_s = max(0.05, deadline_s - started_at_s + ANSWER_GRACE_S)
         answer = await connection.call(
             "POST", call.target, call.headers(), call.body, wait_s
         )
         idle.append(connection)
-        return judge(call, answer)
+        attempt = judge(call, answer)
+        attempt.entry = address
+        attempt.started_at_s = started_at_s
+        attempt.ended_at_s = time.monotonic()
+        return attempt
 
     def _other_entry(self, address):
         others = [entry for entry in self._entries if entry != address]
--- a/scripts/_processes.py
+++ b/scripts/_processes.py
@@ -52,6 +52,11 @@
         """Process id."""
         return self._popen.pid
 
+    @property
+    def states_address(self):
+        """Whether its output is read for its address."""
+        return self._popen.stdout is not None
+
     def running(self):
         """Return whether the process has not ended."""
         return self._popen.poll() is None
@@ -192,9 +197,9 @@
             self._started.append(process)
         return process
 
-    def end_all(self):
-        """End every process that still runs, the frozen ones too."""
-        running = [process for process in self._started if process.running()]
+    def end(self, processes):
+        """End some of the processes, the frozen ones too."""
+        running = [process for process in processes if process.running()]
         for process in running:
             process.send_signal(signal.SIGTERM)
             process.thaw()
@@ -208,6 +213,15 @@
         for process in running:
             process.wait()
 
+    def end_all(self):
+        """End every process that still runs; those that state an address last.
+
+        The stand-ins state theirs.  Ended before the daemons, they would fill the
+        daemons' last log lines with errors that are none.
+        """
+        self.end([process for process in self._started if not process.states_address])
+        self.end(self._started)
+
 
 @contextlib.contextmanager
 def interruptible():
--- a/scripts/_silent_proxy.py
+++ b/scripts/_silent_proxy.py
@@ -88,7 +88,7 @@
             if not data:
                 # The end of the connection is not relayed either: whoever waits on
                 # the other side must find out by itself.
-                await curio.sleep(float("inf"))
+                await curio.Event().wait()
             if not relay.silent:
                 await sink.sendall(data)
         except OSError:
--- a/scripts/_verdict.py
+++ b/scripts/_verdict.py
@@ -26,7 +26,7 @@
     run_twice : int
         Non-idempotent requests that the targets ran more than once.
     refused_but_ran : int
-        Requests that ran although every attempt was refused as not run.
+        Requests that ran although their last word was "refused, not run".
     answered_not_run : int
         Requests that were answered although no target ran them.
     unusual : list of scripts._load.Call
@@ -34,6 +34,7 @@
     """
 
     __slots__ = (
+        "_ledgers",
         "answered",
         "answered_not_run",
         "details",
@@ -61,6 +62,7 @@
         self.unknown = finals[Verdict.UNKNOWN]
         self.truncated_as_whole = every[Verdict.TRUNCATED_AS_WHOLE]
         self.wrong_bytes = every[Verdict.WRONG_BYTES]
+        self._ledgers = ledgers
         self.details = []
         self.unusual = [call for call in calls if call.verdict is not Verdict.ANSWERED]
         self.run_twice = self._count(calls, runs, "run_twice", _ran_twice)
@@ -71,6 +73,10 @@
             calls, runs, "answered_not_run", _answered_without_run
         )
 
+    def unusual_lines(self, limit):
+        """Return a line on each of the first requests that were not answered."""
+        return [describe(call, self._ledgers) for call in self.unusual[:limit]]
+
     def holds(self):
         """Return whether nothing happened that must never happen."""
         return not (
@@ -104,7 +110,7 @@
         for call in calls:
             if violates(call, runs):
                 count += 1
-                self.details.append(f"{name}: {describe(call)}")
+                self.details.append(f"{name}: {describe(call, self._ledgers)}")
         return count
 
 
@@ -131,13 +137,26 @@
         return max(by_id, self._by_key[call.idempotency_key])
 
 
-def describe(call):
-    """Return one line on a call and its attempts, for people."""
-    attempts = ", ".join(
-        f"{attempt.verdict.value}/{attempt.reason}" for attempt in call.attempts
-    )
+def describe(call, ledgers):
+    """Return one line on a call, its attempts and its runs, for people."""
     name = call.idempotency_key or (call.attempts[-1].request_id or "unnamed")
-    return f"{call.kind} {name}: {attempts}"
+    attempts = "; ".join(_describe_attempt(attempt) for attempt in call.attempts)
+    request_ids = {attempt.request_id for attempt in call.attempts}
+    runs = ", ".join(
+        f"{host} {ledger[request_id]['runs']} ({ledger[request_id]['finished']} ended)"
+        for host, ledger in ledgers.items()
+        for request_id in request_ids & ledger.keys()
+    )
+    return f"{call.kind} {name}: {attempts}; runs: {runs or 'none'}"
+
+
+def _describe_attempt(attempt):
+    waited_s = attempt.ended_at_s - attempt.started_at_s
+    port = attempt.entry[1] if attempt.entry else "?"
+    return (
+        f"{attempt.verdict.value}/{attempt.reason} after {waited_s:.2f} s at {port}, "
+        f"{len(attempt.answer.body)} bytes"
+    )
 
 
 def _ran_twice(call, runs):
@@ -145,12 +164,10 @@
 
 
 def _ran_though_refused(call, runs):
-    # A refusal speaks of its own attempt.  Behind an unknown attempt a run may be that
-    # one's, so that only calls that were refused throughout prove a false refusal.
-    refused = all(
-        attempt.verdict is Verdict.REFUSED_NOT_RUN for attempt in call.attempts
-    )
-    return bool(call.attempts) and refused and runs.count(call) > 0
+    # The last word counts, whatever earlier attempts came to: with it the caller may
+    # issue the work anew, and under another key nothing would keep it from running
+    # twice.
+    return call.verdict is Verdict.REFUSED_NOT_RUN and runs.count(call) > 0
 
 
 def _answered_without_run(call, runs):
--- a/siskinthread/admission/__init__.py
+++ b/siskinthread/admission/__init__.py
@@ -1,7 +1,22 @@
 """Limits, early shedding and retry budgets.
 
-Interface: ``Admission(settings, view, membership, clock, metrics)`` with
-``admit(request)``, which returns an `End` (refused, not run) or an ``Admitted`` with
-``finish(tokens)``; ``RetryBudget(settings, clock)`` with ``note_request()`` and
-``try_spend()``.
+Interface: ``Admission(settings, view, membership, clock, metrics, target_load=None,
+shares=None)`` with ``admit(request)``, which returns an `End` (refused, not run; for a
+request with an idempotency key, unknown) or an ``Admitted`` with ``finish(tokens)``;
+``RetryBudget(settings, clock)`` with ``note_request()`` and ``try_spend()``.  Both take
+an `AdmissionSettings`.
 """
+
+from siskinthread.admission._admission import Admission, Admitted
+from siskinthread.admission._retry_budget import RetryBudget
+from siskinthread.admission._settings import AdmissionSettings
+from siskinthread.admission._shares import ShareSource, StaticShares
+
+__all__ = [
+    "Admission",
+    "AdmissionSettings",
+    "Admitted",
+    "RetryBudget",
+    "ShareSource",
+    "StaticShares",
+]
--- /dev/null
+++ b/siskinthread/admission/_retry_budget.py
@@ -0,0 +1,73 @@
+"""Budget of retries."""
+
+import collections
+
+from siskinthread.timing import Deadline
+
+SLOTS_PER_WINDOW = 10
+
+
+class RetryBudget:
+    """Bounds retries to a share of the recent requests plus a small floor.
+
+    Parameters
+    ----------
+    settings : AdmissionSettings
+        Share, floor and window.
+    clock : siskinthread.timing.Clock
+        Clock of the window.
+
+    Notes
+    -----
+    When targets fail under load, each retry adds to that load.  Unbounded retries
+    multiply it by the number of attempts and keep the targets failing after the cause
+    has gone; one would notice more attempts than requests.
+    """
+
+    __slots__ = ("_clock", "_settings", "_slots")
+
+    def __init__(self, settings, clock):
+        self._settings = settings
+        self._clock = clock
+        self._slots = collections.deque()
+
+    def note_request(self):
+        """Count a first attempt."""
+        self._newest_slot().request_count += 1
+
+    def try_spend(self):
+        """Count a retry if the budget allows it.
+
+        Returns
+        -------
+        bool
+            Whether the retry may be made.
+        """
+        newest = self._newest_slot()
+        request_count = sum(slot.request_count for slot in self._slots)
+        retry_count = sum(slot.retry_count for slot in self._slots)
+        settings = self._settings
+        limit = settings.retry_floor_count + settings.retry_share * request_count
+        if retry_count + 1 > limit:
+            return False
+        newest.retry_count += 1
+        return True
+
+    def _newest_slot(self):
+        while self._slots and self._slots[0].expiry.passed():
+            self._slots.popleft()
+        if not self._slots or self._slots[-1].closing.passed():
+            self._slots.append(_Slot(self._clock, self._settings.retry_window_s))
+        return self._slots[-1]
+
+
+class _Slot:
+    """Counts of a tenth of the window."""
+
+    __slots__ = ("closing", "expiry", "request_count", "retry_count")
+
+    def __init__(self, clock, window_s):
+        self.closing = Deadline.after(clock, window_s / SLOTS_PER_WINDOW)
+        self.expiry = Deadline.after(clock, window_s)
+        self.request_count = 0
+        self.retry_count = 0
--- /dev/null
+++ b/siskinthread/callers/_connection.py
@@ -0,0 +1,221 @@
+"""HTTP framing of one connection, by h11."""
+
+import http.client
+
+import h11
+
+from siskinthread.callers._caller_socket import CallerSocket, Phase
+from siskinthread.callers._head import RequestHead
+from siskinthread.callers._refusal import bad_request, refuse
+from siskinthread.outcomes import Reason
+
+RETRY_FULL_S = 1.0
+STATUS_WITHOUT_BODY = (204, 304)
+# Stands for an event of h11 when the caller took too long.
+LIMIT_PASSED = object()
+
+
+class CallerConnection:
+    """Reads requests and writes responses on one connection.
+
+    Parameters
+    ----------
+    socket : curio.io.Socket
+        The accepted socket.
+    settings : CallerSettings
+        Limits.
+    clock : siskinthread.timing.Clock
+        For the limits in time.
+
+    Attributes
+    ----------
+    caller : CallerSocket
+        The bytes and limits beneath.
+    """
+
+    __slots__ = ("_http", "_method", "_settings", "caller")
+
+    def __init__(self, socket, settings, clock):
+        self.caller = CallerSocket(socket, settings, clock)
+        self._settings = settings
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=settings.head_size_limit_bytes
+        )
+        self._method = None
+
+    # Requests.
+
+    async def read_head(self, idle_limit_s):
+        """Return the next `RequestHead`, a `Refusal`, or None at the end.
+
+        Parameters
+        ----------
+        idle_limit_s : float
+            Longest wait for its first byte, seconds.
+        """
+        self.caller.enter(Phase.IDLE, idle_limit_s)
+        self._method = None
+        try:
+            event = await self._next_event()
+        except h11.RemoteProtocolError as error:
+            return _refusal_of(error)
+        if event is LIMIT_PASSED and self.caller.phase is not Phase.IDLE:
+            return _too_slow()
+        if not isinstance(event, h11.Request):
+            return None
+        self.caller.enter(Phase.BODY, self._settings.body_limit_s)
+        self._method = event.method
+        if _size_bytes(event) > self._settings.head_size_limit_bytes:
+            return bad_request("The head is too large.", status=431, closes=True)
+        return RequestHead(
+            event.method.decode("ascii"),
+            event.target.decode("ascii"),
+            [
+                (name.decode("ascii"), value.decode("latin-1"))
+                for name, value in event.headers
+            ],
+            event.http_version.decode("ascii"),
+        )
+
+    async def read_body(self, share):
+        """Return the whole body as bytes, or a `Refusal`.
+
+        Parameters
+        ----------
+        share : BodyShare
+            Where the bytes are counted.
+        """
+        parts = []
+        left = self._settings.body_size_limit_bytes
+        while True:
+            try:
+                event = await self._next_event()
+            except h11.RemoteProtocolError as error:
+                return _refusal_of(error)
+            if isinstance(event, h11.EndOfMessage):
+                self.caller.enter_answer()
+                return b"".join(parts)
+            if event is LIMIT_PASSED:
+                return _too_slow()
+            if not isinstance(event, h11.Data):
+                return bad_request("The body is incomplete.", closes=True)
+            left -= len(event.data)
+            if left < 0:
+                return bad_request("The body is too large.", status=413, closes=True)
+            if not share.take(len(event.data)):
+                return _no_memory()
+            parts.append(bytes(event.data))
+
+    def start_next_request(self):
+        """Return whether the connection can be used for another request."""
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    # Responses.
+
+    async def write_head(self, status, headers):
+        """Write the head of a response.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If the headers can't be sent.
+        """
+        await self.caller.write(self._http.send(_response(status, headers)))
+
+    async def write_data(self, data):
+        """Write the next bytes of a body: one framing, one write.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If the body is longer than its announced length.
+        """
+        await self.caller.write(self._http.send(h11.Data(data)))
+
+    async def write_end(self):
+        """Write the end of a body, which says that it was whole.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If the body is shorter than its announced length.
+        """
+        await self.caller.write(self._http.send(h11.EndOfMessage()))
+
+    async def write_whole(self, status, headers, body):
+        """Write a response at once.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            If the headers can't be sent; nothing was written then.
+        """
+        data = self._http.send(_response(status, headers))
+        if self.carries_body(status):
+            data += self._http.send(h11.Data(body))
+        data += self._http.send(h11.EndOfMessage())
+        await self.caller.write(data)
+
+    def carries_body(self, status):
+        """Return whether a response with this status has a body."""
+        return self._method != b"HEAD" and status not in STATUS_WITHOUT_BODY
+
+    async def _next_event(self):
+        caller = self.caller
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._http.they_are_waiting_for_100_continue:
+                await self._write_continue()
+            if caller.phase is Phase.IDLE and self._http.trailing_data[0]:
+                caller.enter(Phase.HEAD, self._settings.head_limit_s)
+            data = await caller.receive()
+            if data is None:
+                return LIMIT_PASSED
+            self._http.receive_data(data)
+
+    async def _write_continue(self):
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        await self.caller.write(self._http.send(go_on))
+        self.caller.enter(Phase.BODY, self._settings.body_limit_s)
+
+
+def _size_bytes(request):
+    return len(request.target) + sum(
+        len(name) + len(value) for name, value in request.headers
+    )
+
+
+def _response(status, headers):
+    phrase = http.client.responses.get(status, "")
+    return h11.Response(status_code=status, headers=headers, reason=phrase)
+
+
+def _too_slow():
+    return bad_request("The request did not arrive in time.", status=408, closes=True)
+
+
+def _no_memory():
+    return refuse(
+        Reason.OVERLOADED,
+        "This host holds too many bodies of requests.",
+        closes=True,
+        retry_after_s=RETRY_FULL_S,
+    )
+
+
+def _refusal_of(error):
+    status = error.error_status_hint
+    # h11 puts the offending bytes behind a colon; they are not for a response.
+    fault = str(error).partition(":")[0]
+    if status == 431:
+        return bad_request("The head is too large.", status=431, closes=True)
+    if status == 501:
+        return bad_request(f"Not supported: {fault}.", status=501, closes=True)
+    return bad_request(f"Malformed HTTP: {fault}.", closes=True)
--- /dev/null
+++ b/siskinthread/daemons/_agent.py
@@ -0,0 +1,126 @@
+"""The agent daemon: the only way to the target on its host."""
+
+import functools
+
+import curio
+
+from siskinthread.configuration import ConfigurationView, follow_log
+from siskinthread.daemons._supervision import run_until_stopped
+from siskinthread.execution import AgentServer, StatusServer
+from siskinthread.membership import follow_host_list, MembershipView
+from siskinthread.observability import Metrics, part_logger, set_up_logging
+from siskinthread.platform import HostListClient, LogClient
+from siskinthread.targets import build_target
+from siskinthread.timing import Deadline, SYSTEM_CLOCK
+from siskinthread.wire import Identity
+
+AGENT_ROLE = "agent"
+BACKLOG = 1024
+
+_logger = part_logger("daemons")
+
+
+def run_agent(settings):
+    """Run the agent until a stop signal; what runs then is finished first.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Everything that the process is told.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    output = set_up_logging(settings.logging)
+    try:
+        curio.run(Agent(settings).run)
+    finally:
+        output.close()
+    return 0
+
+
+class Agent:
+    """The parts of an agent process.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Everything that the process is told.
+    """
+
+    __slots__ = ("_membership", "_metrics", "_server", "_settings", "_view")
+
+    def __init__(self, settings):
+        clock = SYSTEM_CLOCK
+        self._settings = settings
+        self._metrics = Metrics()
+        self._view = ConfigurationView()
+        self._membership = MembershipView(settings.membership, clock)
+        self._membership.listen(self._follow_own_entry)
+        self._server = AgentServer(
+            Identity(
+                settings.host, settings.failure_domain, AGENT_ROLE, settings.services
+            ),
+            settings.execution,
+            settings.peers,
+            self._view,
+            build_target(settings.target, clock),
+            clock,
+            self._metrics,
+        )
+
+    async def run(self):
+        """Run until a stop signal and the drain after it."""
+        peers = _listen(self._settings.peer_listen)
+        pages = _listen(self._settings.metrics_listen)
+        status = StatusServer(self._metrics, self._unready_reason)
+        _logger.info(
+            "Agent %s listens for entries on %s:%d.",
+            self._settings.host,
+            *peers.getsockname(),
+        )
+        tasks = {
+            "links": functools.partial(self._server.run, peers),
+            "status": functools.partial(status.run, pages),
+            "configuration": self._follow_log,
+            "membership": self._follow_host_list,
+        }
+        await run_until_stopped(tasks, self._drain)
+
+    async def _follow_log(self):
+        await follow_log(
+            LogClient(self._settings.platform),
+            self._view,
+            self._settings.platform,
+            SYSTEM_CLOCK,
+            self._metrics,
+            configuration=self._settings.configuration,
+        )
+
+    async def _follow_host_list(self):
+        await follow_host_list(
+            HostListClient(self._settings.platform),
+            self._membership,
+            self._settings.platform,
+            SYSTEM_CLOCK,
+            self._metrics,
+        )
+
+    def _follow_own_entry(self, membership):
+        self._server.set_listed_leaving(membership.is_leaving(self._settings.host))
+
+    def _unready_reason(self):
+        if self._view.state is None:
+            return "no configuration is known"
+        return "leaving" if self._server.leaving else None
+
+    async def _drain(self):
+        limit_s = self._settings.drain_limit_s
+        if not await self._server.drain(Deadline.after(SYSTEM_CLOCK, limit_s)):
+            _logger.warning("Requests still ran at the drain limit.")
+
+
+def _listen(address):
+    return curio.network.tcp_server_socket(address.host, address.port, backlog=BACKLOG)
--- a/siskinthread/daemons/_entry.py
+++ b/siskinthread/daemons/_entry.py
@@ -7,6 +7,7 @@
 from siskinthread.admission import Admission, RetryBudget
 from siskinthread.callers import CallerServer
 from siskinthread.configuration import ConfigurationView, follow_log
+from siskinthread.daemons._collector import tune_collector
 from siskinthread.daemons._supervision import run_until_stopped
 from siskinthread.dispatch import Dispatcher
 from siskinthread.links import AgentLinks
@@ -39,7 +40,9 @@
     """
     output = set_up_logging(settings.logging)
     try:
-        curio.run(Entry(settings).run)
+        entry = Entry(settings)
+        tune_collector()
+        curio.run(entry.run)
     finally:
         output.close()
     return 0
--- a/siskinthread/execution/__init__.py
+++ b/siskinthread/execution/__init__.py
@@ -1,5 +1,12 @@
 """Agent side: link server, ledger of requests, stream buffers.
 
-Interface: ``AgentServer(identity, settings, view, targets, clock, metrics)`` with
-``async run(listening socket)``, ``async drain(deadline)`` and ``leaving``.
+Interface: ``AgentServer(identity, settings, peer_settings, view, target, clock,
+metrics)`` with ``async run(listening_socket)``, ``set_listed_leaving(leaving)``,
+``async drain(deadline)`` and ``leaving``.  ``StatusServer`` serves metrics and health.
 """
+
+from siskinthread.execution._server import AgentServer
+from siskinthread.execution._settings import ExecutionSettings
+from siskinthread.execution._status import StatusServer
+
+__all__ = ["AgentServer", "ExecutionSettings", "StatusServer"]
--- /dev/null
+++ b/siskinthread/execution/_handler.py
@@ -0,0 +1,316 @@
+"""What becomes of the frames about attempts."""
+
+import curio
+
+from siskinthread.execution._building import (
+    digest_of,
+    ExecutionBuilder,
+    is_keyed,
+    new_attempt,
+    wanted_offset_bytes,
+    window_bytes_of,
+)
+from siskinthread.execution._execution import AttemptId
+from siskinthread.execution._keys import refused, unknown
+from siskinthread.outcomes import Outcome, Reason
+from siskinthread.targets import resume_call
+from siskinthread.timing import Deadline
+
+# Refusals after which an entry may tell the caller of a key that it did not run.
+VOUCHED_REASONS = frozenset({Reason.DEADLINE_PASSED, Reason.LEAVING, Reason.OVERLOADED})
+
+
+class AttemptHandler:
+    """Starts, resumes, acknowledges and cancels attempts.
+
+    Parameters
+    ----------
+    parts : ExecutionParts
+        What the parts of an agent share.
+    runner : Runner
+        Runs executions.
+    key_rules : KeyRules
+        Tells whether the ledger vouches for a key.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether new work is refused.
+    """
+
+    __slots__ = (
+        "_builder",
+        "_clock",
+        "_detached",
+        "_identity",
+        "_key_rules",
+        "_ledger",
+        "_metrics",
+        "_runner",
+        "_settings",
+        "_target",
+        "leaving",
+    )
+
+    def __init__(self, parts, runner, key_rules):
+        self._identity = parts.identity
+        self._settings = parts.settings
+        self._target = parts.target
+        self._clock = parts.clock
+        self._ledger = parts.ledger
+        self._metrics = parts.metrics
+        self._builder = ExecutionBuilder(parts)
+        self._runner = runner
+        self._key_rules = key_rules
+        self._detached = set()
+        self.leaving = False
+
+    async def start(self, message, link):
+        """Run a request, or attach to its execution, or refuse it."""
+        attempt_id = AttemptId(link.entry_incarnation, message.attempt)
+        if attempt_id in self._ledger.attempts:
+            return
+        refusal = self._ledger.refusal(attempt_id)
+        execution = self._ledger.find(message.request_id)
+        if refusal is not None:
+            await link.send_end(attempt_id, refusal.end)
+        elif execution is None:
+            await self._start_new(message, attempt_id, link)
+        elif execution.digest not in (None, digest_of(message)):
+            end = refused(Reason.KEY_REUSED, "The key stands for another request.")
+            await self._end_at_once(attempt_id, end, message, link)
+        else:
+            await self._join(execution, attempt_id, message, link)
+
+    async def _start_new(self, message, attempt_id, link):
+        objection = self._objection(message, attempt_id)
+        if objection is None:
+            objection = await self._run(message, attempt_id, link)
+        if objection is None:
+            return
+        if objection.outcome == Outcome.UNKNOWN:
+            digest = digest_of(message)
+            await self._ask_target(message, attempt_id, link, objection.reason, digest)
+            return
+        if is_keyed(message) and objection.reason in VOUCHED_REASONS:
+            self._ledger.hold_key(message.request_id, attempt_id)
+        await self._end_at_once(attempt_id, objection, message, link)
+
+    async def _run(self, message, attempt_id, link):
+        """Run a new request; return the refusal if there is no room for it."""
+        execution = self._builder.new_execution(message)
+        placed = self._runner.turns.place(execution)
+        if placed is None:
+            return self._runner.overloaded()
+        self._ledger.add(execution)
+        await self._attach(new_attempt(attempt_id, execution, message), link)
+        await self._runner.follow_up(execution, placed)
+        return None
+
+    def _objection(self, message, attempt_id):
+        keyed = is_keyed(message)
+        if keyed:
+            # Whether the ledger vouches for the key comes before every "not run".
+            objection = self._key_objection(message, attempt_id)
+            if objection is not None:
+                return objection
+        if self.leaving:
+            return refused(Reason.LEAVING, "The target is leaving.")
+        if self._builder.deadline(message).passed():
+            return refused(Reason.DEADLINE_PASSED, "The deadline has passed.")
+        if keyed and not self._ledger.has_room_for_key():
+            return self._runner.overloaded()
+        return None
+
+    def _key_objection(self, message, attempt_id):
+        objection = self._key_rules.objection(message)
+        if objection is not None:
+            return objection
+        hold = self._ledger.hold(message.request_id, attempt_id)
+        if hold is None:
+            return None
+        # It says nothing of the key, so the hold need not be prolonged for its sake.
+        return refused(
+            Reason.NOT_READY,
+            "The key was refused a moment ago.",
+            retry_after_s=hold.deadline.left_s(),
+        )
+
+    async def _join(self, execution, attempt_id, message, link):
+        if not execution.holds(wanted_offset_bytes(message)):
+            end = unknown(Reason.ANSWER_GONE, "Bytes that are wanted are gone.")
+            await self._end_at_once(attempt_id, end, message, link)
+            return
+        deadline = self._builder.deadline(message)
+        if deadline.at_s > execution.deadline.at_s:
+            execution.deadline = deadline
+        await self._attach(new_attempt(attempt_id, execution, message), link)
+
+    async def _attach(self, attempt, link):
+        if attempt.attempt_id not in self._ledger.attempts:
+            self._ledger.attach(attempt)
+        if attempt.link is not None:
+            attempt.link.forget(attempt)
+        attempt.link = link
+        attempt.detached_deadline = None
+        self._detached.discard(attempt)
+        link.attempts.add(attempt)
+        await link.mark(attempt)
+
+    async def _end_at_once(self, attempt_id, end, message, link):
+        deadline = self._builder.deadline(message)
+        self._ledger.refuse(attempt_id, end, deadline)
+        self._metrics.ends.labels(end.outcome.label, str(end.reason)).inc()
+        await link.send_end(attempt_id, end)
+
+    async def resume(self, message, link):
+        """Go on with an attempt over a new connection."""
+        attempt_id = AttemptId(link.entry_incarnation, message.attempt)
+        attempt = self._ledger.attempts.get(attempt_id)
+        refusal = self._ledger.refusal(attempt_id)
+        execution = self._ledger.find(message.request_id)
+        if attempt is not None and attempt.execution.holds(message.offset_bytes):
+            window_bytes = window_bytes_of(message)
+            head_received = bool(message.head_received)
+            attempt.seek(message.offset_bytes, window_bytes, head_received)
+            await self._attach(attempt, link)
+        elif refusal is not None:
+            await link.send_end(attempt_id, refusal.end)
+        elif execution is not None:
+            await self._join(execution, attempt_id, message, link)
+        elif message.sent_to_incarnation == self._identity.incarnation:
+            await self._refuse_never_received(message, attempt_id, link)
+        else:
+            await self._ask_target(message, attempt_id, link, Reason.AGENT_REPLACED)
+
+    async def _refuse_never_received(self, message, attempt_id, link):
+        # The refusal has to be on record before it is said: the start frame may still
+        # lie in an older connection.  Past its deadline the record of a request that
+        # did run may be gone, and nothing can be said.
+        deadline = self._builder.deadline(message)
+        if deadline.passed() or not self._ledger.has_room_for_refusal():
+            end = unknown(Reason.ANSWER_GONE, "No record of the request is left.")
+        else:
+            end = refused(Reason.NEVER_RECEIVED, "The request never arrived.")
+        await self._end_at_once(attempt_id, end, message, link)
+
+    async def _ask_target(self, message, attempt_id, link, reason, digest=None):
+        """Ask the target about a request that an earlier incarnation may have sent."""
+        execution = self._builder.continued_execution(message, digest)
+        offset_bytes = execution.buffer.base_bytes
+        call = resume_call(self._target, message.request_id, offset_bytes)
+        if call is None:
+            end = unknown(reason, "This process can't tell whether it ran.")
+            await self._end_at_once(attempt_id, end, message, link)
+            return
+        execution.unknown_reason = reason
+        self._ledger.add(execution)
+        await self._attach(new_attempt(attempt_id, execution, message), link)
+        await self._runner.go_on(execution, call)
+
+    async def acknowledge(self, message, link):
+        """Free what arrived; let more be sent or forget the attempt."""
+        attempt_id = AttemptId(link.entry_incarnation, message.attempt)
+        attempt = self._ledger.attempts.get(attempt_id)
+        if attempt is None:
+            return
+        attempt.acknowledge(message.received_bytes)
+        if message.finished:
+            await self._drop(attempt)
+            return
+        await self._free_acknowledged(attempt.execution)
+        if attempt.link is not None:
+            await attempt.link.mark(attempt)
+
+    async def _free_acknowledged(self, execution):
+        execution.free_acknowledged()
+        await execution.room.set()
+
+    async def _drop(self, attempt):
+        """Forget an attempt whose entry wants nothing more."""
+        execution = attempt.execution
+        self._ledger.detach(attempt)
+        self._detached.discard(attempt)
+        await self._free_acknowledged(execution)
+        if execution.keyed or execution.attempts:
+            return
+        if execution.ended:
+            grace_s = self._settings.finished_grace_s
+            execution.forget_deadline = Deadline.after(self._clock, grace_s)
+            self._ledger.schedule_forgetting(execution)
+        else:
+            await self._runner.stop(execution, Reason.CANCELLED)
+
+    async def cancel(self, message, link):
+        """Stop a request whose caller left, unless others may want it.
+
+        The entry repeats the frame over new connections until an end arrives.
+        """
+        attempt_id = AttemptId(link.entry_incarnation, message.attempt)
+        attempt = self._ledger.attempts.get(attempt_id)
+        refusal = self._ledger.refusal(attempt_id)
+        if refusal is not None:
+            await link.send_end(attempt_id, refusal.end)
+        elif attempt is None:
+            await self._cancel_unknown(message, attempt_id, link)
+        elif attempt.execution.keyed or len(attempt.execution.attempts) > 1:
+            end = unknown(Reason.CANCELLED, "The request goes on for others.")
+            await link.send_end(attempt_id, end)
+            await self._drop(attempt)
+        else:
+            attempt.cancelled = True
+            await self._attach(attempt, link)
+            await self._free_acknowledged(attempt.execution)
+            await self._runner.stop(attempt.execution, Reason.CANCELLED)
+
+    async def _cancel_unknown(self, message, attempt_id, link):
+        # Its start frame may still be on its way over an older connection, or an
+        # earlier incarnation of this agent may have sent it to the target.
+        end = unknown(Reason.CANCELLED, "Cancelled; no record of it.")
+        late = Deadline.after(self._clock, self._settings.forget_grace_s)
+        self._ledger.refuse(attempt_id, end, late)
+        await link.send_end(attempt_id, end)
+        call = resume_call(self._target, message.request_id, 0)
+        if call is not None and not is_keyed(message):
+            await curio.spawn(call.cancel, daemon=True)
+
+    def detach_link(self, link):
+        """Keep the attempts of a lost connection for a while."""
+        for attempt in list(link.attempts):
+            link.forget(attempt)
+            attempt.link = None
+            wait_s = self._settings.orphan_limit_s
+            attempt.detached_deadline = Deadline.after(self._clock, wait_s)
+            self._detached.add(attempt)
+
+    async def expire(self):
+        """Stop and forget what passed its deadline."""
+        for attempt in list(self._detached):
+            if attempt.attempt_id not in self._ledger.attempts:
+                self._detached.discard(attempt)
+            elif attempt.detached_deadline.passed() and not attempt.execution.ended:
+                await self._drop(attempt)
+        turns = self._runner.turns
+        for execution in [*turns.running, *turns.waiting()]:
+            if _is_overdue(execution):
+                await self._runner.stop(execution, Reason.DEADLINE_PASSED)
+        self._ledger.expire()
+
+    def is_quiet(self):
+        """Return whether nothing runs and every end arrived or can't arrive."""
+        turns = self._runner.turns
+        if turns.running or turns.waiting_count:
+            return False
+        attempts = self._ledger.attempts.values()
+        return not any(_is_awaited(attempt) for attempt in attempts)
+
+
+def _is_awaited(attempt):
+    return attempt.link is not None or not attempt.detached_deadline.passed()
+
+
+def _is_overdue(execution):
+    # A request with a key goes on for its retries' sake once it has begun.
+    if execution.keyed and execution.task is not None:
+        return execution.forget_deadline.passed()
+    return execution.deadline.passed()
--- /dev/null
+++ b/siskinthread/execution/_server.py
@@ -0,0 +1,266 @@
+"""The server of an agent, which entries connect to."""
+
+import curio
+
+from siskinthread.control import LinkListener
+from siskinthread.errors import ConnectionLostError, ProtocolError
+from siskinthread.execution._handler import AttemptHandler
+from siskinthread.execution._keys import KeyRules
+from siskinthread.execution._ledger import Ledger
+from siskinthread.execution._link import Link
+from siskinthread.execution._load import LoadMonitor, Progress
+from siskinthread.execution._metrics import ExecutionMetrics
+from siskinthread.execution._runner import Runner
+from siskinthread.execution._turns import Turns
+from siskinthread.observability import part_logger
+from siskinthread.outcomes import Reason
+from siskinthread.timing import Deadline
+from siskinthread.wire import Channel, Frame, shake_hands
+
+ENTRY_ROLE = "entry"
+ACCEPT_RETRY_WAIT_S = 0.1
+DRAIN_LOOK_INTERVAL_S = 0.02
+LAST_ENDS_WAIT_S = 2.0
+
+_logger = part_logger("execution")
+
+
+class ExecutionParts:
+    """What the parts of an agent share."""
+
+    __slots__ = (
+        "clock",
+        "identity",
+        "ledger",
+        "metrics",
+        "settings",
+        "target",
+        "view",
+    )
+
+    def __init__(self, identity, settings, view, target, clock, metrics):
+        self.identity = identity
+        self.settings = settings
+        self.view = view
+        self.target = target
+        self.clock = clock
+        self.ledger = Ledger(settings, clock)
+        self.metrics = metrics
+
+
+class AgentServer:
+    """Serves the links of entries.
+
+    Parameters
+    ----------
+    identity : Identity
+        This process.
+    settings : ExecutionSettings
+        Limits and waits.
+    peer_settings : PeerSettings
+        Keys, waits and limits of links.
+    view : ConfigurationView
+        The configuration in force.
+    target : Target
+        The target on this host.
+    clock : Clock
+        The process's clocks.
+    metrics : Metrics
+        The process's metrics.
+    control : siskinthread.control.LinkListener or None
+        Passes the configuration on over the links.
+
+    Attributes
+    ----------
+    handler : AttemptHandler
+        Handles the frames of links.
+    links : dict of str to Link
+        The present link of each entry, by its incarnation.
+    """
+
+    __slots__ = (
+        "_connections",
+        "_identity",
+        "_leave_deadline",
+        "_listed_leaving",
+        "_load",
+        "_metrics",
+        "_runner",
+        "clock",
+        "control",
+        "handler",
+        "links",
+        "peer_settings",
+        "settings",
+    )
+
+    def __init__(
+        self,
+        identity,
+        settings,
+        peer_settings,
+        view,
+        target,
+        clock,
+        metrics,
+        control=None,
+    ):
+        self.control = control or LinkListener()
+        self._identity = identity
+        self.settings = settings
+        self.peer_settings = peer_settings
+        self.clock = clock
+        self._metrics = ExecutionMetrics(metrics)
+        parts = ExecutionParts(identity, settings, view, target, clock, self._metrics)
+        turns = Turns(settings)
+        progress = Progress(settings, clock)
+        self._runner = Runner(
+            settings, target, parts.ledger, turns, progress, self._metrics
+        )
+        key_rules = KeyRules(identity.host, settings, view, clock)
+        self.handler = AttemptHandler(parts, self._runner, key_rules)
+        self._load = LoadMonitor(parts, turns, progress)
+        self._leave_deadline = None
+        self._listed_leaving = False
+        self._connections = set()
+        self.links = {}
+        self._metrics.watch(parts.ledger, turns, self.links)
+
+    @property
+    def leaving(self):
+        """Whether new work is refused."""
+        return self.handler.leaving
+
+    def load_report(self):
+        """Return the `LoadReport` as of now."""
+        return self._load.report(self.leaving)
+
+    async def run(self, listening_socket):
+        """Serve until cancelled.
+
+        Parameters
+        ----------
+        listening_socket : curio.io.Socket
+            A socket that listens.
+        """
+        self._runner.open()
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._accept, listening_socket)
+                await group.spawn(self._keep_house)
+                await group.spawn(self._load.run)
+        finally:
+            await self._runner.close()
+            await curio.TaskGroup(self._connections).cancel_remaining()
+        if group.exception is not None:
+            raise group.exception
+
+    async def _accept(self, listening_socket):
+        while True:
+            try:
+                socket, _ = await listening_socket.accept()
+            except OSError as error:
+                # Out of descriptors: those in use go on, and some will be freed.
+                _logger.warning("Can't accept: %s.", error)
+                await curio.sleep(ACCEPT_RETRY_WAIT_S)
+                continue
+            task = await curio.spawn(self._serve, socket, daemon=True)
+            self._connections.add(task)
+
+    async def _serve(self, socket):
+        limit_bytes = self.peer_settings.frame_limit_bytes
+        channel = Channel(socket, Frame, limit_bytes)
+        try:
+            await self._serve_channel(channel)
+        except ConnectionLostError as error:
+            _logger.info("Link ended: %s.", error)
+        except ProtocolError as error:
+            _logger.warning("Link refused: %s.", error)
+        except Exception:
+            _logger.exception("Link failed inside.")
+        finally:
+            await channel.close()
+            self._connections.discard(await curio.current_task())
+
+    async def _serve_channel(self, channel):
+        hello, frames = await shake_hands(
+            channel, self._identity, self.peer_settings, dialled=False
+        )
+        if hello.role != ENTRY_ROLE:
+            raise ProtocolError(f"{hello.host} is no entry")
+        link = Link(channel, hello, self)
+        await self._replace_link(link)
+        _logger.info("Link of %s is up.", link.entry_host)
+        try:
+            await self.control.link_up(link)
+            if self._leave_deadline is not None:
+                await link.send_leaving(self._leave_deadline)
+            await link.run(frames)
+        finally:
+            self.handler.detach_link(link)
+            await self.control.link_down(link)
+            if self.links.get(link.entry_incarnation) is link:
+                del self.links[link.entry_incarnation]
+
+    async def _replace_link(self, link):
+        # An entry that dials anew has given the older connection up.  A late frame of
+        # that one must not take an attempt back to where nobody reads.
+        older = self.links.get(link.entry_incarnation)
+        self.links[link.entry_incarnation] = link
+        if older is not None:
+            await older.shut_down()
+
+    async def _keep_house(self):
+        while True:
+            await self.handler.expire()
+            await curio.sleep(self.settings.housekeeping_interval_s)
+
+    def set_listed_leaving(self, leaving):
+        """Take in whether the host list shows this host as leaving.
+
+        It is not final: a host that was replaced under its old name finds its
+        predecessor's mark on the lagging list for a while.
+        """
+        if leaving == self._listed_leaving:
+            return
+        self._listed_leaving = leaving
+        _logger.info("Host list says %s.", "leaving" if leaving else "staying")
+        self._update_leaving()
+
+    def _update_leaving(self):
+        self.handler.leaving = self._listed_leaving or self._leave_deadline is not None
+
+    async def drain(self, deadline):
+        """Refuse new work and wait until what runs has ended and arrived.
+
+        Parameters
+        ----------
+        deadline : Deadline
+            When to stop waiting.
+
+        Returns
+        -------
+        bool
+            Whether everything ended.
+        """
+        self._leave_deadline = deadline
+        self._update_leaving()
+        for link in list(self.links.values()):
+            await link.send_leaving(deadline)
+        # Start frames that crossed with the notice would die unread with the links; the
+        # entries could then only report that the outcome is unknown.
+        notice = Deadline.after(self.clock, self.settings.leaving_notice_s)
+        while not notice.passed():
+            await curio.sleep(DRAIN_LOOK_INTERVAL_S)
+        if await self._wait_until_quiet(deadline):
+            return True
+        await self._runner.stop_all(Reason.LEAVING)
+        await self._wait_until_quiet(Deadline.after(self.clock, LAST_ENDS_WAIT_S))
+        return False
+
+    async def _wait_until_quiet(self, deadline):
+        while not self.handler.is_quiet():
+            if deadline.passed():
+                return False
+            await curio.sleep(DRAIN_LOOK_INTERVAL_S)
+        return True
--- /dev/null
+++ b/siskinthread/routing/_loads.py
@@ -0,0 +1,141 @@
+"""Loads of the targets, for comparison with each other."""
+
+from siskinthread.routing._work import TargetWork
+from siskinthread.timing import Deadline
+
+
+class TargetLoads:
+    """The work of all targets as far as this entry host can know it.
+
+    Parameters
+    ----------
+    settings : RoutingSettings
+        Smoothing, weights and limits.
+    membership : siskinthread.membership.MembershipView
+        Failure domains and the number of entry hosts.
+    links : siskinthread.links.AgentLinks
+        Links with the load reports.
+    clock : siskinthread.timing.Clock
+        Clock of the reports' ages.
+
+    Notes
+    -----
+    All entry hosts react to the same reports.  If each of N corrected the whole
+    difference that a report shows between two targets, together they would correct it
+    N times, and back again after the next report.  Of the others' work, the difference
+    to the mean of the failure domain therefore counts with ``others_weight`` only.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_links",
+        "_membership",
+        "_service_loads",
+        "_settings",
+        "_works",
+    )
+
+    def __init__(self, settings, membership, links, clock):
+        self._settings = settings
+        self._membership = membership
+        self._links = links
+        self._clock = clock
+        self._works = {}
+        self._service_loads = {}
+
+    def note_start(self, host):
+        """Count a request that is being sent to a host."""
+        self._work(host).note_start(self._clock.monotonic_s())
+
+    def note_end(self, host):
+        """Count a request to a host as ended."""
+        self._work(host).note_end(self._clock.monotonic_s())
+
+    def forget_all_but(self, hosts):
+        """Drop the work of hosts that are gone and owe no answer."""
+        for host in self._works.keys() - set(hosts):
+            if self._works[host].own_count == 0:
+                del self._works[host]
+
+    def mean_others_counts(self, hosts):
+        """Return the others' mean work by failure domain.
+
+        Parameters
+        ----------
+        hosts : list of str
+            Hosts with links.
+
+        Returns
+        -------
+        dict of str to float
+        """
+        counts = {}
+        for host in hosts:
+            domain = self._membership.failure_domain(host)
+            counts.setdefault(domain, []).append(self._others_count(host))
+        return {domain: sum(values) / len(values) for domain, values in counts.items()}
+
+    def work_count(self, host, mean_others_counts):
+        """Return the estimated requests at a host, running or waiting."""
+        others_count = self._others_count(host)
+        mean_count = mean_others_counts[self._membership.failure_domain(host)]
+        difference = self._settings.others_weight * (others_count - mean_count)
+        return self._work(host).own_count + mean_count + difference
+
+    def load(self, host, mean_others_counts):
+        """Return the load with one more request, as a share of the capacity."""
+        work_count = self.work_count(host, mean_others_counts)
+        return (work_count + 1) / self._work(host).capacity_count
+
+    def waiting_count(self, host):
+        """Return the requests that seem to wait at a host."""
+        work = self._work(host)
+        work_count = work.own_count + self._others_count(host)
+        return max(0.0, work_count - work.capacity_count)
+
+    def load_without(self, hosts, ejected):
+        """Return the load of `hosts` if those of `ejected` carried nothing."""
+        work_count = sum(
+            self._work(host).own_count + self._others_count(host) for host in hosts
+        )
+        capacity_count = sum(
+            self._work(host).capacity_count for host in hosts if host not in ejected
+        )
+        return work_count / capacity_count if capacity_count else float("inf")
+
+    def service_load(self, service_name):
+        """Return the work of a service's targets over their capacity.
+
+        Returns
+        -------
+        float or None
+            None if no target of the service has a link.
+        """
+        cached = self._service_loads.get(service_name)
+        if cached is not None and not cached[0].passed():
+            return cached[1]
+        hosts = [
+            host
+            for host in self._links.connected_hosts()
+            if service_name in self._links.status(host).services
+        ]
+        load = self.load_without(hosts, ()) if hosts else None
+        refresh = Deadline.after(self._clock, self._settings.pool_refresh_s)
+        self._service_loads[service_name] = refresh, load
+        return load
+
+    def _others_count(self, host):
+        work = self._work(host)
+        status = self._links.status(host)
+        if status is not None:
+            work.follow_report(status, self._clock.monotonic_s())
+        if work.others_count is not None:
+            return work.others_count
+        other_entry_count = max(0, len(self._membership.entries()) - 1)
+        return work.own_count * other_entry_count
+
+    def _work(self, host):
+        work = self._works.get(host)
+        if work is None:
+            work = self._works[host] = TargetWork(self._settings)
+        return work
--- /dev/null
+++ b/siskinthread/routing/_rendezvous.py
@@ -0,0 +1,126 @@
+"""Rendezvous hashing: the home of a key and the subset of targets of an entry host.
+
+References
+----------
+Thaler and Ravishankar, "Using name-based mappings to increase hit rates", IEEE/ACM
+Transactions on Networking 6(1), 1998.
+"""
+
+import xxhash
+
+
+def home_of(hosts, idempotency_key):
+    """Return the home of an idempotency key.
+
+    Parameters
+    ----------
+    hosts : iterable of str
+        The declared hosts of the service, in any order.
+    idempotency_key : str
+        The key.
+
+    Returns
+    -------
+    str or None
+        The host with the highest weight, None without hosts.
+
+    Notes
+    -----
+    The weight of a host is XXH64 of its UTF-8 name, seeded with XXH64 of the key (seed
+    0).  Entries and agents of every version must agree: were two of them to differ, a
+    key would have two homes and its request could run twice.  The golden file of the
+    tests pins the result.
+    """
+    return max(hosts, key=_weight(idempotency_key), default=None)
+
+
+def subset_of(entry_host, hosts, failure_domain_of, own_failure_domain, size):
+    """Return the targets to which one entry host keeps links.
+
+    Parameters
+    ----------
+    entry_host : str
+        Name of the entry host.
+    hosts : iterable of str
+        Names of all targets.
+    failure_domain_of : callable
+        Maps the name of a target to its failure domain.
+    own_failure_domain : str
+        Failure domain of the entry host.
+    size : int
+        Largest number of targets.
+
+    Returns
+    -------
+    list of str
+        The chosen targets, ranked.
+
+    Notes
+    -----
+    The own failure domain comes first, but fills at most half of the subset while
+    there are other hosts: with links to one failure domain only, its loss would leave
+    the entry host without any target.
+    """
+    ranked = sorted(hosts, key=_weight(entry_host), reverse=True)
+    own = [host for host in ranked if failure_domain_of(host) == own_failure_domain]
+    other = [host for host in ranked if failure_domain_of(host) != own_failure_domain]
+    other_room = max(size // 2, size - len(own))
+    other = other[:other_room]
+    return own[: size - len(other)] + other
+
+
+def hosts_to_link(
+    entry_host,
+    agents,
+    hosts_by_service,
+    failure_domain_of,
+    own_failure_domain,
+    settings,
+):
+    """Return the names of the agents to which one entry host keeps links.
+
+    Parameters
+    ----------
+    entry_host : str
+        Name of the entry host.
+    agents : collection of str
+        Names of all agents.
+    hosts_by_service : dict of str to list of str
+        Declared hosts by service.
+    failure_domain_of, own_failure_domain
+        As for `subset_of`.
+    settings : RoutingSettings
+        ``subset_size`` and ``service_subset_size``.
+
+    Returns
+    -------
+    set of str
+        All agents while there are no more than ``subset_size``.
+
+    Notes
+    -----
+    Beyond that, each service gets a part of the links.  One subset of all agents would
+    often miss a service with few hosts, noticeable as ``no_target`` at some entry hosts
+    only.
+    """
+    if len(agents) <= settings.subset_size or not hosts_by_service:
+        return set(agents)
+    even_size = settings.subset_size // len(hosts_by_service)
+    size = max(settings.service_subset_size, even_size)
+    linked = set()
+    for hosts in hosts_by_service.values():
+        present = [host for host in hosts if host in agents]
+        linked.update(
+            subset_of(entry_host, present, failure_domain_of, own_failure_domain, size)
+        )
+    return linked
+
+
+def _weight(key):
+    seed = xxhash.xxh64_intdigest(key.encode())
+
+    def weight(host):
+        name = host.encode()
+        return xxhash.xxh64_intdigest(name, seed), name
+
+    return weight
--- /dev/null
+++ b/siskinthread/routing/_target_health.py
@@ -0,0 +1,112 @@
+"""What the answers of one target tell about its pace."""
+
+import collections
+
+from siskinthread.timing import Deadline
+
+WINDOW_COUNT = 6
+USED_RANK = 1
+
+
+class TargetHealth:
+    """First-byte times and failures of one target for one service.
+
+    Attributes
+    ----------
+    first_byte_s : float or None
+        The second smallest of the last few times.  Waiting in a queue only ever adds
+        to a time, so this shows the target's pace even while it is busy; a mean would
+        take a busy target for a slow one and eject it when it is needed most.
+    failure_count : int
+        Failures since the last first byte.
+    probe : Deadline or None
+        Set while the target is ejected: when the next probe may go.
+    """
+
+    __slots__ = (
+        "_last_sign_at_s",
+        "_pending",
+        "_probe_wait_s",
+        "_recent_s",
+        "failure_count",
+        "first_byte_s",
+        "probe",
+        "sample_count",
+    )
+
+    def __init__(self):
+        self._recent_s = collections.deque(maxlen=WINDOW_COUNT)
+        self._pending = {}
+        self._last_sign_at_s = 0.0
+        self.first_byte_s = None
+        self.failure_count = 0
+        self.sample_count = 0
+        self.probe = None
+        self._probe_wait_s = 0.0
+
+    @property
+    def ejected(self):
+        """Whether the target is ejected."""
+        return self.probe is not None
+
+    def note_start(self, request_id, now_s):
+        """Note that an attempt was sent."""
+        self._pending[request_id] = now_s
+
+    def note_first_byte(self, request_id, first_byte_s, now_s):
+        """Take in the first-byte time of an attempt, seconds; repeats are ignored."""
+        if self._pending.pop(request_id, None) is None:
+            return
+        self._last_sign_at_s = now_s
+        self.failure_count = 0
+        self.sample_count += 1
+        if self.ejected:
+            self._recent_s.clear()
+        self._recent_s.append(first_byte_s)
+        rank = min(USED_RANK, len(self._recent_s) - 1)
+        self.first_byte_s = sorted(self._recent_s)[rank]
+
+    def note_no_first_byte(self, request_id, failed):
+        """Note that an attempt ended before its first byte."""
+        if self._pending.pop(request_id, None) is not None and failed:
+            self.failure_count += 1
+
+    def silence_s(self, now_s):
+        """Return for how long attempts have waited without any sign of progress.
+
+        A target may be busy and let one request wait for long, but then the first
+        bytes of others keep coming.
+        """
+        if not self._pending:
+            return 0.0
+        oldest_s = next(iter(self._pending.values()))
+        return now_s - max(oldest_s, self._last_sign_at_s)
+
+    def is_judged(self, settings):
+        """Return whether enough first-byte times are known to compare the target."""
+        enough = self.sample_count >= settings.slow_sample_count
+        return enough and self.first_byte_s is not None
+
+    def eject(self, wait_s, clock):
+        """Eject the target; what it showed before no longer speaks for it.
+
+        Without forgetting that, a target that stalled would come back on the fast
+        answers from before, as soon as the requests stuck in it were given up.
+        """
+        self._recent_s.clear()
+        self.first_byte_s = None
+        self._probe_wait_s = wait_s
+        self.probe = Deadline.after(clock, wait_s)
+
+    def put_off_probe(self, limit_s, clock):
+        """Double the time to the next probe, up to `limit_s` seconds."""
+        self._probe_wait_s = min(limit_s, 2.0 * self._probe_wait_s)
+        self.probe = Deadline.after(clock, self._probe_wait_s)
+
+    def let_back(self):
+        """End the ejection."""
+        self.probe = None
+
+    def has_probe_under_way(self):
+        """Return whether an ejected target still owes a first byte."""
+        return bool(self._pending)
--- /dev/null
+++ b/siskinthread/routing/_work.py
@@ -0,0 +1,104 @@
+"""How much work a target has: own count and lagging report combined."""
+
+import collections
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class TargetWork:
+    """What this entry host has sent to one target, and what others seem to have.
+
+    Attributes
+    ----------
+    own_count : int
+        Requests of this entry host in flight at the target; exact.
+    others_count : float or None
+        Estimate of the other entry hosts' requests; None without a usable report.
+    capacity_count : int
+        Requests that the target runs at once.
+
+    Notes
+    -----
+    A load report describes the past.  Between two reports every entry host sees the
+    same least loaded target; if all went by the report alone, they would flood it
+    until the next report, noticeable as queues that jump from target to target at the
+    pace of the reports.  So this entry host's own requests are counted exactly, and the
+    report only gives the others' part: what it holds beyond the own requests of its
+    time, smoothed over reports, since of a single late one little is still true.
+    """
+
+    __slots__ = (
+        "_ended_at_s",
+        "_report_received_at_s",
+        "_settings",
+        "_started_at_s",
+        "capacity_count",
+        "others_count",
+        "own_count",
+    )
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._report_received_at_s = None
+        self._started_at_s = collections.deque()
+        self._ended_at_s = collections.deque()
+        self.own_count = 0
+        self.others_count = None
+        self.capacity_count = 1
+
+    def note_start(self, now_s):
+        """Count a request that is being sent."""
+        self.own_count += 1
+        self._started_at_s.append(now_s)
+
+    def note_end(self, now_s):
+        """Count a request that has ended."""
+        self.own_count -= 1
+        self._ended_at_s.append(now_s)
+
+    def follow_report(self, status, now_s):
+        """Take in the last load report of a link, unless it is known or too old.
+
+        Parameters
+        ----------
+        status : siskinthread.links.LinkStatus
+            Holds the report.
+        now_s : float
+            Monotonic clock, seconds.
+        """
+        oldest_s = now_s - self._settings.report_limit_s
+        report_at_s = _report_time_s(status)
+        if report_at_s < oldest_s:
+            self.others_count = None
+            self._forget_before(oldest_s)
+        elif status.load_received_at_s != self._report_received_at_s:
+            self._report_received_at_s = status.load_received_at_s
+            self._forget_before(report_at_s)
+            self._take_report(status.load)
+
+    def _take_report(self, report):
+        change_count = len(self._started_at_s) - len(self._ended_at_s)
+        own_then_count = self.own_count - change_count
+        total_count = (report.running or 0) + (report.waiting or 0)
+        others_count = max(0, total_count - own_then_count)
+        self.capacity_count = max(1, report.capacity or 1)
+        if self.others_count is None:
+            self.others_count = float(others_count)
+        smoothing = self._settings.report_smoothing
+        self.others_count += smoothing * (others_count - self.others_count)
+
+    def _forget_before(self, time_s):
+        _drop_before(self._started_at_s, time_s)
+        _drop_before(self._ended_at_s, time_s)
+
+
+def _report_time_s(status):
+    if status.load is None or status.load_received_at_s is None:
+        return float("-inf")
+    age_s = (status.load.age_ms or 0) / MILLISECONDS_PER_SECOND
+    return status.load_received_at_s - age_s
+
+
+def _drop_before(times_s, limit_s):
+    while times_s and times_s[0] <= limit_s:
+        times_s.popleft()
--- /dev/null
+++ b/siskinthread/targets/_connection.py
@@ -0,0 +1,207 @@
+"""One HTTP/1.1 client connection to a target."""
+
+import select
+
+import curio
+import h11
+
+from siskinthread.errors import ConnectionLostError, TargetError
+from siskinthread.outcomes import Head
+from siskinthread.timing import Deadline
+
+RECEIVE_SIZE_BYTES = 64 * 1024
+BODILESS_STATUSES = (204, 304)
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class TargetConnection:
+    """A connection to a target; one exchange at a time.
+
+    Parameters
+    ----------
+    socket : curio.io.Socket
+        A connected socket.
+    settings : TargetSettings
+        Limits.
+
+    Attributes
+    ----------
+    written : bool
+        Whether a byte of the present request was given to the network.  As long as it
+        is False, the target can't have run the request.
+    idle_deadline : Deadline or None
+        While idle: when the connection is too old to be used.
+    careful_deadline : Deadline or None
+        While idle: when it is too old for a non-idempotent request.
+    """
+
+    __slots__ = (
+        "_http",
+        "_length_known",
+        "_method",
+        "_settings",
+        "_socket",
+        "careful_deadline",
+        "idle_deadline",
+        "written",
+    )
+
+    def __init__(self, socket, settings):
+        self._socket = socket
+        self._settings = settings
+        self._http = h11.Connection(
+            h11.CLIENT,
+            max_incomplete_event_size=settings.response_head_limit_bytes,
+        )
+        self._length_known = True
+        self._method = None
+        self.written = False
+        self.idle_deadline = None
+        self.careful_deadline = None
+
+    async def send_request(self, method, path, headers, body):
+        """Write a whole request.
+
+        Raises
+        ------
+        ConnectionLostError
+            If the connection failed; ``written`` tells whether a byte may have left.
+        TargetError
+            If the request can't be written as HTTP; nothing was sent.
+        """
+        self._method = method
+        try:
+            head = h11.Request(method=method, target=path, headers=headers)
+            data = self._http.send(head)
+            if body:
+                data += self._http.send(h11.Data(data=body))
+            data += self._http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            raise TargetError(f"can't be sent as HTTP: {error}") from error
+        await self._write(data)
+
+    async def _write(self, data):
+        # A send that fails took no byte, so a failure of the first one means "not
+        # run".  `sendall` would hide whether some bytes had left before it failed.
+        view = memoryview(data)
+        while view:
+            try:
+                sent = await self._socket.send(view)
+            except OSError as error:
+                raise ConnectionLostError(str(error)) from error
+            self.written = True
+            view = view[sent:]
+
+    async def receive_head(self):
+        """Return the `Head` of the response, without hop-by-hop headers.
+
+        Raises
+        ------
+        TargetError
+            If the target closed the connection, was silent or sent no HTTP.
+        """
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise TargetError("closed before the response")
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers
+        ]
+        names = {name for name, _ in headers}
+        # The end of a body that only the end of the connection marks can't be told
+        # from a target that died: such a body is never taken for whole.
+        self._length_known = (
+            "content-length" in names
+            or "transfer-encoding" in names
+            or event.status_code in BODILESS_STATUSES
+            or self._method == "HEAD"
+        )
+        kept = [pair for pair in headers if pair[0] not in HOP_BY_HOP_HEADERS]
+        return Head(event.status_code, kept)
+
+    async def receive_data(self):
+        """Return the next bytes of the body; None at its end.
+
+        Raises
+        ------
+        TargetError
+            If the body broke off, or the target was silent or sent no HTTP.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            if not self._length_known:
+                raise TargetError("a body without a stated length ended")
+            return None
+        raise TargetError("the response broke off")
+
+    async def _next_event(self):
+        try:
+            event = self._http.next_event()
+            while event is h11.NEED_DATA:
+                self._http.receive_data(await self._receive())
+                event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise TargetError(f"unreadable response: {error}") from error
+        return event
+
+    async def _receive(self):
+        try:
+            return await curio.timeout_after(
+                self._settings.silence_limit_s, self._socket.recv, RECEIVE_SIZE_BYTES
+            )
+        except curio.TaskTimeout as error:
+            raise TargetError("silent past the limit") from error
+        except OSError as error:
+            raise TargetError(f"connection failed: {error}") from error
+
+    def make_idle(self, clock):
+        """Get ready for another exchange.
+
+        Returns
+        -------
+        bool
+            Whether the connection can be used again.
+        """
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        self._length_known = True
+        self.written = False
+        settings = self._settings
+        self.idle_deadline = Deadline.after(clock, settings.idle_limit_s)
+        self.careful_deadline = Deadline.after(clock, settings.idle_reuse_limit_s)
+        return True
+
+    def usable(self, idempotent):
+        """Return whether an idle connection may carry a request."""
+        deadline = self.idle_deadline if idempotent else self.careful_deadline
+        return not deadline.passed() and not self._readable()
+
+    def _readable(self):
+        # A target that closed an idle connection leaves it readable.  Writing to it
+        # would lose the request, with an unknown outcome.
+        poller = select.poll()
+        poller.register(self._socket.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
+    async def close(self):
+        """Close the connection."""
+        await self._socket.close()
--- /dev/null
+++ b/siskinthread/targets/_target.py
@@ -0,0 +1,137 @@
+"""The kinds of target and what is common to them."""
+
+import json
+
+import curio
+
+from siskinthread.errors import TargetError
+from siskinthread.targets._pool import ConnectionPool
+
+ANSWER_LIMIT_BYTES = 64 * 1024
+
+
+class TargetLoad:
+    """A target's own load report.
+
+    Parameters
+    ----------
+    running, waiting, capacity : int
+        Requests that run, that wait, and that can run at once.
+    age_ms : int
+        Age of the report when the target answered.
+    """
+
+    __slots__ = ("age_ms", "capacity", "running", "waiting")
+
+    def __init__(self, running, waiting, capacity, age_ms):
+        self.running = running
+        self.waiting = waiting
+        self.capacity = capacity
+        self.age_ms = age_ms
+
+
+class Target:
+    """A target on the agent's host.
+
+    Parameters
+    ----------
+    settings : TargetSettings
+        Address and limits.
+    clock : Clock
+        Clock of the connections' ages.
+    """
+
+    __slots__ = ("clock", "pool", "settings")
+
+    def __init__(self, settings, clock):
+        self.settings = settings
+        self.clock = clock
+        self.pool = ConnectionPool(settings, clock)
+
+    def host_header(self):
+        """Return the ``Host`` header of requests to this target."""
+        return ("host", str(self.settings.address))
+
+    async def fetch_load(self):
+        """Return the target's `TargetLoad`.
+
+        Raises
+        ------
+        TargetError, ConnectionLostError
+            If no readable answer came in time.
+        """
+        status, body = await self.control("GET", "/load")
+        if status != 200:
+            raise TargetError(f"load report has status {status}")
+        try:
+            report = json.loads(body)
+            return TargetLoad(
+                int(report["running"]),
+                int(report["waiting"]),
+                int(report["capacity"]),
+                int(report.get("age_ms", 0)),
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise TargetError(f"unreadable load report: {error!r}") from error
+
+    async def control(self, method, path):
+        """Ask something small that may be repeated.
+
+        Returns
+        -------
+        tuple
+            Status and body.
+
+        Raises
+        ------
+        TargetError, ConnectionLostError
+            If no whole answer came in time.
+        """
+        try:
+            return await curio.timeout_after(
+                self.settings.control_wait_s, self._control, method, path
+            )
+        except curio.TaskTimeout as error:
+            raise TargetError(f"no answer to {method} {path}") from error
+
+    async def _control(self, method, path):
+        connection = await self.pool.take(idempotent=True)
+        whole = False
+        try:
+            headers = [self.host_header(), ("content-length", "0")]
+            await connection.send_request(method, path, headers, b"")
+            head = await connection.receive_head()
+            body = await _receive_body(connection)
+            whole = True
+        finally:
+            if not whole:
+                await connection.close()
+        await self.pool.give_back(connection)
+        return head.status, body
+
+
+async def _receive_body(connection):
+    body = b""
+    while (data := await connection.receive_data()) is not None:
+        body += data
+        if len(body) > ANSWER_LIMIT_BYTES:
+            raise TargetError("answer is over the limit")
+    return body
+
+
+class EngineTarget(Target):
+    """A model engine: it knows requests by id, resumes and cancels them."""
+
+    __slots__ = ()
+
+
+class PlainTarget(Target):
+    """A plain service behind HTTP: it can't be asked about a request."""
+
+    __slots__ = ()
+
+
+def build_target(settings, clock):
+    """Return the target that the settings describe."""
+    kinds = {"engine": EngineTarget, "plain": PlainTarget}
+    return kinds[settings.kind](settings, clock)
--- a/siskinthread/wire/_channel.py
+++ b/siskinthread/wire/_channel.py
@@ -1,5 +1,8 @@
 """A framed connection over a curio socket."""
 
+import contextlib
+import socket as socket_module
+
 import curio
 
 from siskinthread.errors import ConnectionLostError
@@ -26,6 +29,9 @@
     __slots__ = ("_decoder", "_socket", "peer_hello")
 
     def __init__(self, socket, frame_class, frame_limit_bytes):
+        # Small frames leave at once; Nagle's algorithm would hold a token back until
+        # the peer's delayed acknowledgement of the one before, some 40 ms.
+        socket.setsockopt(socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1)
         self._socket = socket
         self._decoder = FrameDecoder(frame_class, frame_limit_bytes)
         self.peer_hello = None
@@ -70,6 +76,11 @@
         except OSError as error:
             raise ConnectionLostError(str(error)) from error
 
+    async def shut_down(self):
+        """End both directions, so that a task that waits in `receive` returns."""
+        with contextlib.suppress(OSError):
+            await self._socket.shutdown(socket_module.SHUT_RDWR)
+
     async def close(self):
         """Close the connection without waiting for the peer."""
         await self._socket.close()
--- a/siskinthread/wire/_codec.py
+++ b/siskinthread/wire/_codec.py
@@ -1,15 +1,51 @@
 """Bytes to frames and back."""
 
 import struct
+import threading
+from io import BytesIO
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.transport.TTransport import TMemoryBuffer
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import (
+    CReadableTransport,
+    TTransportBase,
+)
 
 from siskinthread.errors import ProtocolError
 
 LENGTH = struct.Struct(">I")
 
-_PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
+
+class _Encoder(threading.local):
+    """Writes frames with one protocol object for each thread.
+
+    Making the protocol object takes longer than writing a small frame.
+    """
+
+    def __init__(self):
+        self._transport = _WrittenBytes()
+        self._protocol = TCompactProtocolAccelerated(self._transport)
+
+    def encode(self, frame):
+        """Return the bytes of a frame without its length."""
+        chunks = self._transport.chunks
+        # A frame that can't be written may leave its first bytes behind.
+        chunks.clear()
+        frame.write(self._protocol)
+        return b"".join(chunks)
+
+
+class _WrittenBytes(TTransportBase):
+    """Collects what thrift's writers write."""
+
+    def __init__(self):
+        self.chunks = []
+
+    def write(self, data):
+        """Collect bytes."""
+        self.chunks.append(data)
+
+
+_ENCODER = _Encoder()
 
 
 def encode_frame(frame):
@@ -24,12 +60,19 @@
     -------
     bytes
     """
-    transport = TMemoryBuffer()
-    frame.write(_PROTOCOL_FACTORY.getProtocol(transport))
-    body = transport.getvalue()
+    body = _ENCODER.encode(frame)
     return LENGTH.pack(len(body)) + body
 
 
+def message_of(frame):
+    """Return the one field of a union that is set, or None."""
+    for name in frame.__slots__:
+        message = getattr(frame, name)
+        if message is not None:
+            return message
+    return None
+
+
 class FrameDecoder:
     """Cuts a byte stream into frames.
 
@@ -40,14 +83,40 @@
     frame_limit_bytes : int
         Longest frame that is accepted.  Without it, one damaged length would make
         this side wait for, and store, up to 4 GiB.
+
+    Notes
+    -----
+    Frames are read where they lie in the received bytes, with one protocol object for
+    the life of the decoder: slicing out each frame and making a protocol for it took
+    longer than reading it.
     """
 
-    __slots__ = ("_buffer", "_frame_class", "_frame_limit_bytes")
+    __slots__ = (
+        "_chunks",
+        "_frame_class",
+        "_frame_limit_bytes",
+        "_kept_bytes",
+        "_needed_bytes",
+        "_protocol",
+        "_transport",
+    )
 
     def __init__(self, frame_class, frame_limit_bytes):
-        self._buffer = bytearray()
         self._frame_class = frame_class
         self._frame_limit_bytes = frame_limit_bytes
+        self._chunks = []
+        self._kept_bytes = 0
+        self._needed_bytes = 0
+        self._transport = _ReceivedBytes()
+        # One string or list can't be larger than its frame.  Without the limits, a few
+        # bytes that claim a list of two thousand million items would have the reader
+        # allocate it before it notices that the items are missing; the peer need not
+        # even be authenticated for that.
+        self._protocol = TCompactProtocolAccelerated(
+            self._transport,
+            string_length_limit=frame_limit_bytes,
+            container_length_limit=frame_limit_bytes,
+        )
 
     def feed(self, data):
         """Add received bytes and return the frames that are now whole.
@@ -66,26 +135,48 @@
         ProtocolError
             If a length is over the limit or a frame can't be read.
         """
-        buffer = self._buffer
-        buffer += data
+        if self._chunks:
+            self._keep(data)
+            if self._kept_bytes < self._needed_bytes:
+                return []
+            data = b"".join(self._chunks)
+            self._chunks.clear()
+            self._kept_bytes = 0
+        return self._cut(data)
+
+    def _keep(self, data):
+        self._chunks.append(data)
+        self._kept_bytes += len(data)
+
+    def _cut(self, data):
         frames = []
+        stream = BytesIO(data)
+        self._transport.cstringio_buf = stream
+        received_bytes = len(data)
         start = 0
-        while len(buffer) - start >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(buffer, start)
+        needed_bytes = LENGTH.size
+        while start + LENGTH.size <= received_bytes:
+            (length,) = LENGTH.unpack_from(data, start)
             if length > self._frame_limit_bytes:
                 raise ProtocolError(f"frame of {length} bytes is over the limit")
-            body_start = start + LENGTH.size
-            if len(buffer) - body_start < length:
+            stop = start + LENGTH.size + length
+            if stop > received_bytes:
+                needed_bytes = LENGTH.size + length
                 break
-            start = body_start + length
-            frames.append(self._decode(bytes(buffer[body_start:start])))
-        del buffer[:start]
+            stream.seek(start + LENGTH.size)
+            frames.append(self._read_frame())
+            if stream.tell() != stop:
+                raise ProtocolError("a frame is shorter or longer than it says")
+            start = stop
+        if start < received_bytes:
+            self._needed_bytes = needed_bytes
+            self._keep(data[start:])
         return frames
 
-    def _decode(self, body):
+    def _read_frame(self):
         frame = self._frame_class()
         try:
-            frame.read(_PROTOCOL_FACTORY.getProtocol(TMemoryBuffer(body)))
+            frame.read(self._protocol)
         except Exception as error:
             # The generated readers raise many unrelated types on damaged input
             # (EOFError, UnicodeDecodeError, TypeError, TProtocolException).  All of
@@ -93,3 +184,17 @@
             # connection's task without the peer being told why.
             raise ProtocolError(f"unreadable frame: {error!r}") from error
         return frame
+
+
+class _ReceivedBytes(TTransportBase, CReadableTransport):
+    """Lets thrift's readers, in C or Python, read from received bytes."""
+
+    cstringio_buf = None
+
+    def read(self, size_bytes):
+        """Return up to `size_bytes` bytes."""
+        return self.cstringio_buf.read(size_bytes)
+
+    def cstringio_refill(self, partial, size_bytes):
+        """Tell that no more bytes belong to the frame."""
+        raise EOFError
--- a/siskinthread/wire/_settings.py
+++ b/siskinthread/wire/_settings.py
@@ -29,6 +29,20 @@
         minimum=0.02,
         description="Silence after which a connection is given up and replaced.",
     )
+    reask_limit_s = Item(
+        float,
+        default=10.0,
+        minimum=0.0,
+        description="Longest wait for an agent out of reach before the outcome of its "
+        "requests is given as unknown.",
+    )
+    read_interval_s = Item(
+        float,
+        default=0.004,
+        minimum=0.0,
+        description="Shortest time between two reads of one connection; small frames "
+        "that arrive meanwhile are handled together, which saves processor time.",
+    )
     window_bytes = Item(
         int,
         default=256 * 1024,
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -23,7 +23,7 @@
     Parameters
     ----------
     options : argparse.Namespace
-        With ``capacity``.
+        With ``capacity`` and ``delay_ms``.
     """
 
     __slots__ = (
@@ -40,7 +40,7 @@
         self._ledger = Ledger()
         self._number = 0
         self._running = 0
-        self.delay_ms = 0
+        self.delay_ms = options.delay_ms
         self.die_before_answer = 0
 
     async def handle(self, request, exchange):
@@ -107,6 +107,9 @@
     parser.add_argument(
         "--capacity", type=int, default=100, help="requests that it takes at once"
     )
+    parser.add_argument(
+        "--delay-ms", type=float, default=0.0, help="time that a request takes"
+    )
 
 
 def main():
--- a/standins/tests/test_host_list.py
+++ b/standins/tests/test_host_list.py
@@ -41,7 +41,7 @@
 def test_a_plain_service_counts_a_run_whose_answer_was_lost():
     """The ledger knows the run that the caller never heard of."""
 
-    standin = PlainServiceStandin(argparse.Namespace(capacity=1))
+    standin = PlainServiceStandin(argparse.Namespace(capacity=1, delay_ms=0.0))
 
     async def scenario(connection):
         headers = [("x-request-id", "r-1"), ("idempotency-key", "k-1")]
--- a/standins/tests/test_verdict.py
+++ b/standins/tests/test_verdict.py
@@ -74,12 +74,20 @@
 
 
 def test_a_refused_request_that_ran_is_seen():
-    """A refusal counts as false only if no other attempt explains the run."""
+    """The last word of an entry counts, whatever was said before it."""
     refused = _answer(b"", True, "refused_not_run", 503)
     unknown = _answer(b"", True, "unknown", 504)
     assert RunVerdict([_judged(refused)], _ledgers(1)).refused_but_ran == 1
     assert RunVerdict([_judged(refused)], _ledgers(0)).refused_but_ran == 0
-    assert RunVerdict([_judged(unknown, refused)], _ledgers(1)).refused_but_ran == 0
+    assert RunVerdict([_judged(unknown, refused)], _ledgers(1)).refused_but_ran == 1
+    assert RunVerdict([_judged(refused, unknown)], _ledgers(1)).refused_but_ran == 0
+
+
+def test_a_missing_entry_does_not_outweigh_an_unknown_outcome():
+    """A request that never left says nothing of an earlier attempt."""
+    call = _judged(_answer(b"", True, "unknown", 504), RawAnswer())
+    verdict = RunVerdict([call], _ledgers(1))
+    assert (verdict.unknown, verdict.refused_but_ran) == (1, 0)
 
 
 def test_an_answer_without_a_run_is_seen():
