--- a/siskinthread/measurement/_routing_run.py
+++ b/siskinthread/measurement/_routing_run.py
@@ -10,90 +10,22 @@
     ModelRequest,
     ModelTarget,
 )
+from siskinthread.measurement._routing_parts import (
+    ModelLinks,
+    ModelMembership,
+    ModelState,
+    SERVICE_NAME,
+)
 from siskinthread.observability import Metrics
 from siskinthread.outcomes import Outcome
-from siskinthread.platform import HostEntry
 from siskinthread.routing import Router, RoutingSettings
 from siskinthread.timing import Deadline
 from siskinthread.wire import LoadReport
 
-SERVICE_NAME = "triage-llm"
 DRAFT_PRIORITY = 2
 SAMPLE_INTERVAL_S = 0.05
 
 
-class ModelLinkStatus:
-    """A link's state as `siskinthread.links` shows it."""
-
-    __slots__ = ("connected", "leaving", "load", "load_received_at_s", "services")
-
-    def __init__(self):
-        self.connected = True
-        self.leaving = False
-        self.load = None
-        self.load_received_at_s = None
-        self.services = [SERVICE_NAME]
-
-
-class ModelLinks:
-    """The links of one entry host."""
-
-    __slots__ = ("_statuses",)
-
-    def __init__(self, hosts):
-        self._statuses = {host: ModelLinkStatus() for host in hosts}
-
-    def status(self, host):
-        """Return the state of a link."""
-        return self._statuses.get(host)
-
-    def connected_hosts(self):
-        """Return the names of all targets."""
-        return list(self._statuses)
-
-
-class ModelState:
-    """A configuration that allows everything."""
-
-    __slots__ = ("_hosts", "version")
-
-    def __init__(self, hosts):
-        self._hosts = frozenset(hosts)
-        self.version = 0
-
-    def allowed_hosts(self, account_name, service_name):
-        """Return all targets."""
-        return self._hosts
-
-
-class ModelMembership:
-    """A membership that never changes."""
-
-    __slots__ = ("_entries", "_failure_domains")
-
-    def __init__(self, hosts, entry_count):
-        self._failure_domains = hosts
-        self._entries = {
-            f"entry-{index}": HostEntry(f"entry-{index}", "entry", "", 0, "", False)
-            for index in range(entry_count)
-        }
-
-    def entries(self):
-        """Return the entry hosts."""
-        return self._entries
-
-    def is_leaving(self, host):
-        """Return False."""
-        return False
-
-    def failure_domain(self, host):
-        """Return the failure domain of a target."""
-        return self._failure_domains[host]
-
-    def listen(self, callback):
-        """Nothing ever changes."""
-
-
 class RunResult:
     """What one run measured.
 
