--- a/scripts/_cluster.py
+++ b/scripts/_cluster.py
@@ -19,6 +19,7 @@
 
 PORTS_OF_A_HOST = 2
 READY_WAIT_S = 10.0
+PUBLISH_WAIT_S = 20.0
 POLL_INTERVAL_S = 0.05
 CONTROL_WAIT_S = 5.0
 
@@ -47,6 +48,7 @@
         "_folder",
         "_options",
         "_processes",
+        "_publications",
         "agents",
         "entries",
         "platform",
@@ -56,6 +58,7 @@
         self._options = options
         self._processes = processes
         self._folder = folder
+        self._publications = 0
         self.entries = []
         self.agents = []
         self.platform = None
@@ -130,22 +133,34 @@
             for agent in self.agents
         }
 
-    async def publish(self, objects):
-        """Publish a configuration through the operators' command line."""
-        path = self._write("configuration.json", objects)
-        settings_path = self._write("operator.json", operator_settings(self.platform))
-        await self._run_command(
-            "config", "publish", str(path), "--settings", str(settings_path)
-        )
+    async def publish(self, objects, expected_statuses=(0,)):
+        """Publish a configuration through the operators' command line.
 
-    async def _run_command(self, *arguments):
-        program = [sys.executable, "-m", "siskinthread", *arguments]
-        process = self._processes.start("operator", program)
-        deadline_s = time.monotonic() + READY_WAIT_S
+        Parameters
+        ----------
+        objects : dict
+            JSON values by kind.
+        expected_statuses : tuple of int
+            Exit statuses of the command that are no failure of the run.
+
+        Returns
+        -------
+        int
+            Exit status of the command.
+        """
+        self._publications += 1
+        name = f"publication-{self._publications}"
+        path = self._write(f"{name}.json", objects)
+        settings_path = self._write("operator.json", operator_settings(self.platform))
+        program = [sys.executable, "-m", "siskinthread", "config", "publish"]
+        arguments = [str(path), "--settings", str(settings_path)]
+        process = self._processes.start(name, [*program, *arguments])
+        deadline_s = time.monotonic() + PUBLISH_WAIT_S
         while process.running() and time.monotonic() < deadline_s:
             await curio.sleep(POLL_INTERVAL_S)
-        if process.exit_status != 0:
-            raise StartError(f"{' '.join(arguments[:2])} failed; {process.log_tail()}")
+        if process.exit_status not in expected_statuses:
+            raise StartError(f"publishing failed; {process.log_tail()}")
+        return process.exit_status
 
     def _lay_out(self):
         options = self._options
--- a/scripts/_failures.py
+++ b/scripts/_failures.py
@@ -34,6 +34,8 @@
 RANDOM_RUNS = 4
 RANDOM_PREFIX = "random_"
 FAULTS_AT_A_TIME = 3
+RACE_STATUSES = (0, 3)
+"""Accepted, or lost to another operator's change."""
 
 
 async def kill_plain_agent(cluster):
@@ -120,6 +122,27 @@
     await control(address, "POST", "/faults", {"empty": False})
 
 
+async def move_homes(cluster):
+    """A change of labels takes a home of alerts away, and another gives it back."""
+    await cluster.publish(_labelled("plain-2", "spare"))
+    await curio.sleep(1.5)
+    await cluster.publish(_labelled("plain-2", "plain"))
+
+
+async def race_operators(cluster):
+    """Three operators change one object at once; an append's answer is lost."""
+    await control(cluster.platform.log, "POST", "/faults", {"lose_answers": 1})
+    async with curio.TaskGroup() as group:
+        for rack in ("rack-1", "rack-2", "rack-3"):
+            change = {"hosts": [_host("engine-4", {"runs": "engine", "rack": rack})]}
+            await group.spawn(cluster.publish, change, RACE_STATUSES)
+
+
+async def shorten_log(cluster):
+    """The log comes back empty; what was accepted must stay in force."""
+    await control(cluster.platform.log, "POST", "/faults", {"truncate_to": 0})
+
+
 def random_faults(seed):
     """Return a fault that is three others at a time, drawn by seed."""
     chosen = random.Random(seed).sample(SINGLE_FAULTS, FAULTS_AT_A_TIME)
@@ -146,6 +169,9 @@
     stall_engine,
     lose_platform,
     empty_host_list,
+    move_homes,
+    race_operators,
+    shorten_log,
 )
 NAMES = [fault.__name__ for fault in SINGLE_FAULTS] + [
     f"{RANDOM_PREFIX}{seed}" for seed in range(1, RANDOM_RUNS + 1)
@@ -159,6 +185,14 @@
     return next(fault for fault in SINGLE_FAULTS if fault.__name__ == name)
 
 
+def _host(name, labels):
+    return {"name": name, "labels": labels}
+
+
+def _labelled(name, runs):
+    return {"hosts": [_host(name, {"runs": runs})]}
+
+
 async def _restart(cluster, name, number):
     node = cluster.agent(name)
     node.process.send_signal(number)
--- a/scripts/_verdict.py
+++ b/scripts/_verdict.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from scripts._load import Verdict
+from scripts._judging import Verdict
 
 
 class RunVerdict:
--- a/standins/tests/test_verdict.py
+++ b/standins/tests/test_verdict.py
@@ -5,7 +5,8 @@
 import pytest
 
 from scripts._caller_http import RawAnswer
-from scripts._load import Call, judge, Verdict
+from scripts._judging import judge, Verdict
+from scripts._load import Call
 from scripts._verdict import RunVerdict
 from standins.tokens import expected_answer
 
