--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.installed
 
-.PHONY: test demo explore format generate clean
+.PHONY: test demo explore faults capacity shares pages format generate clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,22 @@
 demo: $(READY)
 	$(BIN)/python scripts/demo.py
 
+# Failure runs on real daemons over loopback; several minutes.
+faults: $(READY)
+	$(BIN)/python scripts/demo_failures.py
+
+# The figures that docs/CAPACITY.md uses; several minutes.
+capacity: $(READY)
+	$(BIN)/siskinthread measure path --json
+	$(BIN)/siskinthread measure control --json
+
+# docs/operators/settings-*.json5; a test compares them with the code.
+pages: $(READY)
+	$(BIN)/python scripts/render_pages.py
+
+shares: $(READY)
+	$(BIN)/python scripts/shares.py
+
 explore: $(READY)
 	$(BIN)/python scripts/explore_map_change.py
 
