Add frames for orders of a group's controller

Cause: the controller and the gates of the ranks are in different processes. Change: order, reply and statistics frames; nothing sends them yet. Measured: 54 tests of wire, links and control pass with them.

--- a/siskinthread/wire/_generated/frames/ttypes.py
+++ b/siskinthread/wire/_generated/frames/ttypes.py
@@ -37,6 +37,30 @@
     }
 
 
+class OrderKind(object):
+    PROMISE = 1
+    STAGE = 2
+    HOLD = 3
+    SWITCH = 4
+    RELEASE = 5
+
+    _VALUES_TO_NAMES = {
+        1: "PROMISE",
+        2: "STAGE",
+        3: "HOLD",
+        4: "SWITCH",
+        5: "RELEASE",
+    }
+
+    _NAMES_TO_VALUES = {
+        "PROMISE": 1,
+        "STAGE": 2,
+        "HOLD": 3,
+        "SWITCH": 4,
+        "RELEASE": 5,
+    }
+
+
 class Header(object):
     """
     Attributes:
@@ -1950,6 +1974,596 @@
         return not (self == other)
 
 
+class ExpertSlots(object):
+    """
+    The expert in each slot, rank by rank.
+
+    Attributes:
+     - slots_per_rank
+     - expert_count
+     - experts
+
+    """
+
+    __slots__ = (
+        'slots_per_rank',
+        'expert_count',
+        'experts',
+    )
+
+
+    def __init__(self, slots_per_rank=None, expert_count=None, experts=None,):
+        self.slots_per_rank = slots_per_rank
+        self.expert_count = expert_count
+        self.experts = experts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.slots_per_rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.expert_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.experts = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readI32()
+                        self.experts.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExpertSlots')
+        if self.slots_per_rank is not None:
+            oprot.writeFieldBegin('slots_per_rank', TType.I32, 1)
+            oprot.writeI32(self.slots_per_rank)
+            oprot.writeFieldEnd()
+        if self.expert_count is not None:
+            oprot.writeFieldBegin('expert_count', TType.I32, 2)
+            oprot.writeI32(self.expert_count)
+            oprot.writeFieldEnd()
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.experts))
+            for iter41 in self.experts:
+                oprot.writeI32(iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankOrder(object):
+    """
+    Attributes:
+     - question: Chosen by the controller; the reply carries the same.
+     - group
+     - kind
+     - fencing
+     - sequence
+     - version
+     - expert_slots
+
+    """
+
+    __slots__ = (
+        'question',
+        'group',
+        'kind',
+        'fencing',
+        'sequence',
+        'version',
+        'expert_slots',
+    )
+
+
+    def __init__(self, question=None, group=None, kind=None, fencing=None, sequence=None, version=None, expert_slots=None,):
+        self.question = question
+        self.group = group
+        self.kind = kind
+        self.fencing = fencing
+        self.sequence = sequence
+        self.version = version
+        self.expert_slots = expert_slots
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.question = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.fencing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.expert_slots = ExpertSlots()
+                    self.expert_slots.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankOrder')
+        if self.question is not None:
+            oprot.writeFieldBegin('question', TType.I64, 1)
+            oprot.writeI64(self.question)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 2)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 3)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.fencing is not None:
+            oprot.writeFieldBegin('fencing', TType.I64, 4)
+            oprot.writeI64(self.fencing)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 5)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 6)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.expert_slots is not None:
+            oprot.writeFieldBegin('expert_slots', TType.STRUCT, 7)
+            self.expert_slots.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankReply(object):
+    """
+    Attributes:
+     - question
+     - result: "done", "refused" or "no_answer": the engine gave none, the order may take effect.
+     - highest_fencing: Highest number that the gate has seen, if it refused.
+     - highest_sequence
+     - version
+     - staged_version
+     - held
+
+    """
+
+    __slots__ = (
+        'question',
+        'result',
+        'highest_fencing',
+        'highest_sequence',
+        'version',
+        'staged_version',
+        'held',
+    )
+
+
+    def __init__(self, question=None, result=None, highest_fencing=None, highest_sequence=None, version=None, staged_version=None, held=None,):
+        self.question = question
+        self.result = result
+        self.highest_fencing = highest_fencing
+        self.highest_sequence = highest_sequence
+        self.version = version
+        self.staged_version = staged_version
+        self.held = held
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.question = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.result = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.highest_fencing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.highest_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.staged_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankReply')
+        if self.question is not None:
+            oprot.writeFieldBegin('question', TType.I64, 1)
+            oprot.writeI64(self.question)
+            oprot.writeFieldEnd()
+        if self.result is not None:
+            oprot.writeFieldBegin('result', TType.STRING, 2)
+            oprot.writeString(self.result.encode('utf-8') if sys.version_info[0] == 2 else self.result)
+            oprot.writeFieldEnd()
+        if self.highest_fencing is not None:
+            oprot.writeFieldBegin('highest_fencing', TType.I64, 3)
+            oprot.writeI64(self.highest_fencing)
+            oprot.writeFieldEnd()
+        if self.highest_sequence is not None:
+            oprot.writeFieldBegin('highest_sequence', TType.I64, 4)
+            oprot.writeI64(self.highest_sequence)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.staged_version is not None:
+            oprot.writeFieldBegin('staged_version', TType.I64, 6)
+            oprot.writeI64(self.staged_version)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 7)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankStatisticsRequest(object):
+    """
+    Asks a rank for the statistics of its last interval.
+
+    Attributes:
+     - question
+     - group
+
+    """
+
+    __slots__ = (
+        'question',
+        'group',
+    )
+
+
+    def __init__(self, question=None, group=None,):
+        self.question = question
+        self.group = group
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.question = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankStatisticsRequest')
+        if self.question is not None:
+            oprot.writeFieldBegin('question', TType.I64, 1)
+            oprot.writeI64(self.question)
+            oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 2)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankStatistics(object):
+    """
+    Attributes:
+     - question
+     - expert_tokens: Tokens of each expert on this rank; empty if unknown.
+     - step_time_ms: Mean step time; absent if unknown.
+     - expert_slots: The map in force and its version.
+     - version
+
+    """
+
+    __slots__ = (
+        'question',
+        'expert_tokens',
+        'step_time_ms',
+        'expert_slots',
+        'version',
+    )
+
+
+    def __init__(self, question=None, expert_tokens=None, step_time_ms=None, expert_slots=None, version=None,):
+        self.question = question
+        self.expert_tokens = expert_tokens
+        self.step_time_ms = step_time_ms
+        self.expert_slots = expert_slots
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.question = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.expert_tokens = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI64()
+                        self.expert_tokens.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.step_time_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.expert_slots = ExpertSlots()
+                    self.expert_slots.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankStatistics')
+        if self.question is not None:
+            oprot.writeFieldBegin('question', TType.I64, 1)
+            oprot.writeI64(self.question)
+            oprot.writeFieldEnd()
+        if self.expert_tokens is not None:
+            oprot.writeFieldBegin('expert_tokens', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.expert_tokens))
+            for iter48 in self.expert_tokens:
+                oprot.writeI64(iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.step_time_ms is not None:
+            oprot.writeFieldBegin('step_time_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.step_time_ms)
+            oprot.writeFieldEnd()
+        if self.expert_slots is not None:
+            oprot.writeFieldBegin('expert_slots', TType.STRUCT, 4)
+            self.expert_slots.write(oprot)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1966,6 +2580,10 @@
      - leaving
      - configuration_request
      - configuration_update
+     - rank_order
+     - rank_reply
+     - rank_statistics_request
+     - rank_statistics
 
     """
 
@@ -1983,10 +2601,14 @@
         'leaving',
         'configuration_request',
         'configuration_update',
+        'rank_order',
+        'rank_reply',
+        'rank_statistics_request',
+        'rank_statistics',
     )
 
 
-    def __init__(self, hello=None, proof=None, heartbeat=None, start=None, resume=None, acknowledge=None, cancel=None, head=None, part=None, end=None, leaving=None, configuration_request=None, configuration_update=None,):
+    def __init__(self, hello=None, proof=None, heartbeat=None, start=None, resume=None, acknowledge=None, cancel=None, head=None, part=None, end=None, leaving=None, configuration_request=None, configuration_update=None, rank_order=None, rank_reply=None, rank_statistics_request=None, rank_statistics=None,):
         self.hello = hello
         self.proof = proof
         self.heartbeat = heartbeat
@@ -2000,6 +2622,10 @@
         self.leaving = leaving
         self.configuration_request = configuration_request
         self.configuration_update = configuration_update
+        self.rank_order = rank_order
+        self.rank_reply = rank_reply
+        self.rank_statistics_request = rank_statistics_request
+        self.rank_statistics = rank_statistics
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2088,6 +2714,30 @@
                     self.configuration_update.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.rank_order = RankOrder()
+                    self.rank_order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.rank_reply = RankReply()
+                    self.rank_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.rank_statistics_request = RankStatisticsRequest()
+                    self.rank_statistics_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.rank_statistics = RankStatistics()
+                    self.rank_statistics.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2150,6 +2800,22 @@
             oprot.writeFieldBegin('configuration_update', TType.STRUCT, 13)
             self.configuration_update.write(oprot)
             oprot.writeFieldEnd()
+        if self.rank_order is not None:
+            oprot.writeFieldBegin('rank_order', TType.STRUCT, 14)
+            self.rank_order.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_reply is not None:
+            oprot.writeFieldBegin('rank_reply', TType.STRUCT, 15)
+            self.rank_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_statistics_request is not None:
+            oprot.writeFieldBegin('rank_statistics_request', TType.STRUCT, 16)
+            self.rank_statistics_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rank_statistics is not None:
+            oprot.writeFieldBegin('rank_statistics', TType.STRUCT, 17)
+            self.rank_statistics.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2316,6 +2982,50 @@
     (4, TType.LIST, 'snapshot', (TType.STRING, 'BINARY', False), None, ),  # 4
     (5, TType.BOOL, 'diverged', None, None, ),  # 5
 )
+all_structs.append(ExpertSlots)
+ExpertSlots.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'slots_per_rank', None, None, ),  # 1
+    (2, TType.I32, 'expert_count', None, None, ),  # 2
+    (3, TType.LIST, 'experts', (TType.I32, None, False), None, ),  # 3
+)
+all_structs.append(RankOrder)
+RankOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'question', None, None, ),  # 1
+    (2, TType.STRING, 'group', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'kind', None, None, ),  # 3
+    (4, TType.I64, 'fencing', None, None, ),  # 4
+    (5, TType.I64, 'sequence', None, None, ),  # 5
+    (6, TType.I64, 'version', None, None, ),  # 6
+    (7, TType.STRUCT, 'expert_slots', [ExpertSlots, None], None, ),  # 7
+)
+all_structs.append(RankReply)
+RankReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'question', None, None, ),  # 1
+    (2, TType.STRING, 'result', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'highest_fencing', None, None, ),  # 3
+    (4, TType.I64, 'highest_sequence', None, None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.I64, 'staged_version', None, None, ),  # 6
+    (7, TType.BOOL, 'held', None, None, ),  # 7
+)
+all_structs.append(RankStatisticsRequest)
+RankStatisticsRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'question', None, None, ),  # 1
+    (2, TType.STRING, 'group', 'UTF8', None, ),  # 2
+)
+all_structs.append(RankStatistics)
+RankStatistics.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'question', None, None, ),  # 1
+    (2, TType.LIST, 'expert_tokens', (TType.I64, None, False), None, ),  # 2
+    (3, TType.DOUBLE, 'step_time_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'expert_slots', [ExpertSlots, None], None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2332,6 +3042,10 @@
     (11, TType.STRUCT, 'leaving', [Leaving, None], None, ),  # 11
     (12, TType.STRUCT, 'configuration_request', [ConfigurationRequest, None], None, ),  # 12
     (13, TType.STRUCT, 'configuration_update', [ConfigurationUpdate, None], None, ),  # 13
+    (14, TType.STRUCT, 'rank_order', [RankOrder, None], None, ),  # 14
+    (15, TType.STRUCT, 'rank_reply', [RankReply, None], None, ),  # 15
+    (16, TType.STRUCT, 'rank_statistics_request', [RankStatisticsRequest, None], None, ),  # 16
+    (17, TType.STRUCT, 'rank_statistics', [RankStatistics, None], None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/frames.thrift
+++ b/thrift/frames.thrift
@@ -168,6 +168,63 @@
   5: bool diverged,
 }
 
+// Orders of a group's controller to the gates of its ranks: docs/design/map-change.md.
+
+enum OrderKind {
+  PROMISE = 1,
+  STAGE = 2,
+  HOLD = 3,
+  SWITCH = 4,
+  RELEASE = 5,
+}
+
+/** The expert in each slot, rank by rank. */
+struct ExpertSlots {
+  1: i32 slots_per_rank,
+  2: i32 expert_count,
+  3: list<i32> experts,
+}
+
+struct RankOrder {
+  /** Chosen by the controller; the reply carries the same. */
+  1: i64 question,
+  2: string group,
+  3: OrderKind kind,
+  4: i64 fencing,
+  5: i64 sequence,
+  6: optional i64 version,
+  7: optional ExpertSlots expert_slots,
+}
+
+struct RankReply {
+  1: i64 question,
+  /** "done", "refused" or "no_answer": the engine gave none, the order may take effect. */
+  2: string result,
+  /** Highest number that the gate has seen, if it refused. */
+  3: optional i64 highest_fencing,
+  4: optional i64 highest_sequence,
+  5: optional i64 version,
+  6: optional i64 staged_version,
+  7: optional bool held,
+}
+
+/** Asks a rank for the statistics of its last interval. */
+struct RankStatisticsRequest {
+  1: i64 question,
+  2: string group,
+}
+
+struct RankStatistics {
+  1: i64 question,
+  /** Tokens of each expert on this rank; empty if unknown. */
+  2: list<i64> expert_tokens,
+  /** Mean step time; absent if unknown. */
+  3: optional double step_time_ms,
+  /** The map in force and its version. */
+  4: optional ExpertSlots expert_slots,
+  5: optional i64 version,
+}
+
 union Frame {
   1: Hello hello,
   2: Proof proof,
@@ -182,4 +239,8 @@
   11: Leaving leaving,
   12: ConfigurationRequest configuration_request,
   13: ConfigurationUpdate configuration_update,
+  14: RankOrder rank_order,
+  15: RankReply rank_reply,
+  16: RankStatisticsRequest rank_statistics_request,
+  17: RankStatistics rank_statistics,
 }
