Let a controller change the maps of ranks behind other agents

Cause: the change of an expert map was only run by its explorer, without processes. Change: an adapter to a rank's engine, frames, a service before the gate in the agent, the controller's connections, its rounds (recover, observe, plan in slices, change, record), and a stand-in of a group that counts steps on mixed maps. Without the mechanism, with it: no recovery: ranks stay held (fails, passes); no lapse: no end within 20 s (fails, passes); no way back from a hold: three ranks held (fails, passes); one round of switching: no end (fails, passes). 6 tests over loopback pass, mixed steps 0 throughout. Ruled out: version numbers that rise by one, which two controllers in a row could give to two maps. The daemons do not start it yet.

--- a/siskinthread/experts/__init__.py
+++ b/siskinthread/experts/__init__.py
@@ -1,5 +1,6 @@
 """Expert maps: model of the work, planner and change protocol."""
 
+from siskinthread.experts._controller import Controller
 from siskinthread.experts._estimates import Estimates
 from siskinthread.experts._expert_map import ExpertMap
 from siskinthread.experts._map_change import ChangeResult, MapChange
@@ -16,13 +17,18 @@
     Switch,
 )
 from siskinthread.experts._planner import Objective, Plan, Planner, Verdict
+from siskinthread.experts._rank_engine import RankEngine, RankReport
 from siskinthread.experts._rank_gate import RankGate
+from siskinthread.experts._rank_service import RankService
+from siskinthread.experts._rank_settings import RankSettings
 from siskinthread.experts._recomputation import recompute_map
+from siskinthread.experts._remote_ranks import RemoteRanks
 from siskinthread.experts._search import Search, Step
 from siskinthread.experts._settings import PlannerSettings
 
 __all__ = [
     "ChangeResult",
+    "Controller",
     "Done",
     "Estimates",
     "ExpertMap",
@@ -35,10 +41,15 @@
     "Planner",
     "PlannerSettings",
     "Promise",
+    "RankEngine",
     "RankGate",
+    "RankReport",
+    "RankService",
+    "RankSettings",
     "RankState",
     "Refused",
     "Release",
+    "RemoteRanks",
     "Search",
     "Stage",
     "Step",
--- a/siskinthread/experts/_planner.py
+++ b/siskinthread/experts/_planner.py
@@ -88,6 +88,10 @@
         self._objective = objective
         self._budget = settings.moves_burst
 
+    def set_objective(self, objective):
+        """Go by newly published weights and quiet windows."""
+        self._objective = objective
+
     def plan(self, expert_map, estimates, minute):
         """Return the plan for one interval, whole.
 
--- /dev/null
+++ b/siskinthread/experts/_rank_engine.py
@@ -0,0 +1,138 @@
+"""Adapter to the engine of one rank.
+
+The engine speaks HTTP:
+
+- ``GET /rank?fencing=F&sequence=S`` answers the rank's state ``{"version",
+  "staged_version", "held"}``; an engine that checks numbers notes the number.
+- ``POST /rank/orders`` ``{"kind", "fencing", "sequence", "version", "slots"}`` carries
+  out an order and answers the state; an engine that checks numbers answers 409 to an
+  old one.
+- ``GET /rank/statistics`` answers ``{"expert_tokens", "step_time_ms", "version",
+  "slots"}``, one interval late.
+"""
+
+import curio
+import numpy as np
+import pyjson5
+
+from siskinthread.errors import PlatformUnavailableError, TargetError
+from siskinthread.experts._expert_map import ExpertMap
+from siskinthread.experts._orders import RankState
+from siskinthread.platform import HttpClient
+from siskinthread.timing import Deadline
+
+
+class RankReport:
+    """Statistics of one rank's last interval.
+
+    Parameters
+    ----------
+    expert_tokens : numpy.ndarray
+        Tokens of each expert on this rank; NaN for experts that it does not hold.
+    step_time_ms : float
+        Mean step time; NaN if unknown.
+    expert_map : ExpertMap
+        The map in force.
+    """
+
+    __slots__ = ("expert_map", "expert_tokens", "step_time_ms")
+
+    def __init__(self, expert_tokens, step_time_ms, expert_map):
+        self.expert_tokens = expert_tokens
+        self.step_time_ms = step_time_ms
+        self.expert_map = expert_map
+
+
+class RankEngine:
+    """The engine behind a `RankGate`.
+
+    Parameters
+    ----------
+    settings : RankSettings
+        Address, waits, and whether numbers are checked.
+    clock : Clock
+        Clock for orders that were not answered.
+    """
+
+    __slots__ = ("_client", "_clock", "_settings", "_settled_deadline")
+
+    def __init__(self, settings, clock):
+        self._settings = settings
+        self._clock = clock
+        self._client = HttpClient("rank", settings.address, settings.answer_wait_s)
+        # An agent that was here before may have left an order on its way.
+        self._settled_deadline = Deadline.after(clock, settings.order_limit_s)
+
+    async def state(self, number):
+        """Return the rank's state."""
+        query = f"fencing={number.fencing}&sequence={number.sequence}"
+        return await self._ask(lambda: self._client.get(f"/rank?{query}"))
+
+    async def stage(self, number, version, expert_map):
+        """Load a map's weights beside those in force."""
+        slots = expert_map.slots.tolist()
+        return await self._order("stage", number, version=version, slots=slots)
+
+    async def hold(self, number):
+        """Stop at the next step boundary."""
+        return await self._order("hold", number)
+
+    async def switch(self, number, version):
+        """Put the staged map in force."""
+        return await self._order("switch", number, version=version)
+
+    async def release(self, number):
+        """Go on."""
+        return await self._order("release", number)
+
+    async def settle(self):
+        """Wait until no unanswered order can take effect any more."""
+        if not self._settings.checks_fencing:
+            await curio.sleep(self._settled_deadline.left_s())
+
+    async def report(self):
+        """Return the `RankReport` of the last interval.
+
+        Raises
+        ------
+        TargetError
+            If the engine gave no answer.
+        """
+        try:
+            body = await self._client.get("/rank/statistics")
+            return _read_report(pyjson5.decode_utf8(body))
+        except (PlatformUnavailableError, *UNREADABLE) as error:
+            raise TargetError(f"no statistics of the rank: {error!r}") from error
+
+    async def _order(self, kind, number, **values):
+        order = {"kind": kind, "fencing": number.fencing, "sequence": number.sequence}
+        payload = pyjson5.encode({**order, **values}).encode()
+        self._settled_deadline = Deadline.after(
+            self._clock, self._settings.answer_wait_s + self._settings.order_limit_s
+        )
+        return await self._ask(lambda: self._client.post("/rank/orders", payload))
+
+    async def _ask(self, request):
+        try:
+            return _read_state(pyjson5.decode_utf8(await request()))
+        except (PlatformUnavailableError, *UNREADABLE) as error:
+            raise TargetError(f"no answer of the rank: {error!r}") from error
+
+
+UNREADABLE = (pyjson5.Json5Exception, KeyError, TypeError, ValueError)
+
+
+def _read_state(value):
+    return RankState(value["version"], value["staged_version"], bool(value["held"]))
+
+
+def _read_report(value):
+    tokens = np.array(
+        [np.nan if tokens is None else tokens for tokens in value["expert_tokens"]],
+        dtype=float,
+    )
+    expert_map = ExpertMap(value["slots"], len(tokens), value["version"])
+    step_time_ms = value["step_time_ms"]
+    return RankReport(
+        tokens, np.nan if step_time_ms is None else step_time_ms, expert_map
+    )
--- /dev/null
+++ b/siskinthread/experts/_remote_ranks.py
@@ -0,0 +1,181 @@
+"""Controller side: the ranks of a group behind the agents of their hosts."""
+
+import itertools
+
+import curio
+
+from siskinthread.errors import ConnectionLostError, ProtocolError
+from siskinthread.experts._order_frames import (
+    decode_reply,
+    decode_report,
+    encode_order,
+)
+from siskinthread.wire import (
+    Frame,
+    message_of,
+    open_channel,
+    RankStatisticsRequest,
+    shake_hands,
+)
+
+
+class RankConnection:
+    """One question after the other to one agent.
+
+    Each question has a deadline.  After silence the connection is closed: a late reply
+    would be taken for that of the next question, and a connection that something in
+    between lost track of would stay silent for ever.
+
+    Parameters
+    ----------
+    identity : Identity
+        This process.
+    settings : PeerSettings
+        Keys and waits.
+    address : Address
+        Where the agent listens.
+    answer_wait_s : float
+        Longest wait for a reply.
+    """
+
+    __slots__ = ("_answer_wait_s", "_channel", "_identity", "_settings", "address")
+
+    def __init__(self, identity, settings, address, answer_wait_s):
+        self._identity = identity
+        self._settings = settings
+        self.address = address
+        self._answer_wait_s = answer_wait_s
+        self._channel = None
+
+    async def ask(self, frame):
+        """Send a frame and return the message that answers it, or None."""
+        try:
+            async with curio.timeout_after(self._answer_wait_s):
+                return await self._ask(frame)
+        except (ConnectionLostError, ProtocolError, curio.TaskTimeout):
+            await self.close()
+            return None
+
+    async def close(self):
+        """Close the connection."""
+        if self._channel is not None:
+            await self._channel.close()
+            self._channel = None
+
+    async def _ask(self, frame):
+        if self._channel is None:
+            self._channel = await self._dial()
+        await self._channel.send(frame)
+        frames = []
+        while not frames:
+            frames = await self._channel.receive()
+        answer = message_of(frames[0])
+        if getattr(answer, "question", None) != message_of(frame).question:
+            raise ProtocolError("an answer to another question")
+        return answer
+
+    async def _dial(self):
+        settings = self._settings
+        channel = await open_channel(
+            self.address.host,
+            self.address.port,
+            Frame,
+            settings.frame_limit_bytes,
+            settings.dial_wait_s,
+        )
+        try:
+            await shake_hands(channel, self._identity, settings, dialled=True)
+        except BaseException:
+            await channel.close()
+            raise
+        return channel
+
+
+class RemoteRanks:
+    """The ranks of one group, as `MapChange` uses them.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    identity : Identity
+        This process.
+    settings : PeerSettings
+        Keys and waits.
+    answer_wait_s : float
+        Longest wait for a reply.
+    """
+
+    __slots__ = (
+        "_answer_wait_s",
+        "_connections",
+        "_group",
+        "_identity",
+        "_questions",
+        "_settings",
+    )
+
+    def __init__(self, group, identity, settings, answer_wait_s):
+        self._group = group
+        self._identity = identity
+        self._settings = settings
+        self._answer_wait_s = answer_wait_s
+        self._connections = {}
+        self._questions = itertools.count(1)
+
+    async def reconcile(self, addresses):
+        """Take in the addresses of the group's agents, a dict of host to `Address`."""
+        for host in list(self._connections):
+            if self._connections[host].address != addresses.get(host):
+                await self._connections.pop(host).close()
+        for host, address in addresses.items():
+            if host not in self._connections:
+                self._connections[host] = RankConnection(
+                    self._identity, self._settings, address, self._answer_wait_s
+                )
+
+    def names(self):
+        """Return the hosts of the ranks, sorted: rank by rank."""
+        return sorted(self._connections)
+
+    async def broadcast(self, orders):
+        """Send each order and return the replies by host."""
+        frames = {
+            host: Frame(
+                rank_order=encode_order(order, self._group, next(self._questions))
+            )
+            for host, order in orders.items()
+        }
+        messages = await self._ask_all(frames)
+        return {
+            host: None if message is None else decode_reply(message)
+            for host, message in messages.items()
+        }
+
+    async def reports(self):
+        """Return the `RankReport` of each rank, or None, by host."""
+        frames = {
+            host: Frame(
+                rank_statistics_request=RankStatisticsRequest(
+                    next(self._questions), self._group
+                )
+            )
+            for host in self.names()
+        }
+        messages = await self._ask_all(frames)
+        return {
+            host: None if message is None else decode_report(message)
+            for host, message in messages.items()
+        }
+
+    async def close(self):
+        """Close all connections."""
+        for connection in self._connections.values():
+            await connection.close()
+
+    async def _ask_all(self, frames):
+        tasks = {}
+        async with curio.TaskGroup() as group:
+            for host, frame in frames.items():
+                tasks[host] = await group.spawn(self._connections[host].ask, frame)
+        return {host: task.result for host, task in tasks.items()}
