Move the checks of new requests out of the handler of frames

Whether a new request may run, and the hold of a key that was refused, are a duty of their own and now stand in _start_rules.py; the end for overload is built in one place.

--- a/siskinthread/execution/_handler.py
+++ b/siskinthread/execution/_handler.py
@@ -12,13 +12,11 @@
 )
 from siskinthread.execution._execution import AttemptId
 from siskinthread.execution._keys import refused, unknown
+from siskinthread.execution._start_rules import overloaded, StartRules
 from siskinthread.outcomes import Outcome, Reason
 from siskinthread.targets import resume_call
 from siskinthread.timing import Deadline
 
-# Refusals after which an entry may tell the caller of a key that it did not run.
-VOUCHED_REASONS = frozenset({Reason.DEADLINE_PASSED, Reason.LEAVING, Reason.OVERLOADED})
-
 
 class AttemptHandler:
     """Starts, resumes, acknowledges and cancels attempts.
@@ -43,11 +41,11 @@
         "_clock",
         "_detached",
         "_identity",
-        "_key_rules",
         "_ledger",
         "_metrics",
         "_runner",
         "_settings",
+        "_start_rules",
         "_target",
         "leaving",
     )
@@ -61,7 +59,7 @@
         self._metrics = parts.metrics
         self._builder = ExecutionBuilder(parts)
         self._runner = runner
-        self._key_rules = key_rules
+        self._start_rules = StartRules(parts, key_rules)
         self._detached = set()
         self.leaving = False
 
@@ -83,7 +81,7 @@
             await self._join(execution, attempt_id, message, link)
 
     async def _start_new(self, message, attempt_id, link):
-        objection = self._objection(message, attempt_id)
+        objection = self._start_rules.objection(message, attempt_id, self.leaving)
         if objection is None:
             objection = await self._run(message, attempt_id, link)
         if objection is None:
@@ -92,8 +90,7 @@
             digest = digest_of(message)
             await self._ask_target(message, attempt_id, link, objection.reason, digest)
             return
-        if is_keyed(message) and objection.reason in VOUCHED_REASONS:
-            self._ledger.hold_key(message.request_id, attempt_id)
+        self._start_rules.note_refusal(message, attempt_id, objection)
         await self._end_at_once(attempt_id, objection, message, link)
 
     async def _run(self, message, attempt_id, link):
@@ -101,41 +98,12 @@
         execution = self._builder.new_execution(message)
         placed = self._runner.turns.place(execution)
         if placed is None:
-            return self._runner.overloaded()
+            return overloaded(self._settings)
         self._ledger.add(execution)
         await self._attach(new_attempt(attempt_id, execution, message), link)
         await self._runner.follow_up(execution, placed)
         return None
 
-    def _objection(self, message, attempt_id):
-        keyed = is_keyed(message)
-        if keyed:
-            # Whether the ledger vouches for the key comes before every "not run".
-            objection = self._key_objection(message, attempt_id)
-            if objection is not None:
-                return objection
-        if self.leaving:
-            return refused(Reason.LEAVING, "The target is leaving.")
-        if self._builder.deadline(message).passed():
-            return refused(Reason.DEADLINE_PASSED, "The deadline has passed.")
-        if keyed and not self._ledger.has_room_for_key():
-            return self._runner.overloaded()
-        return None
-
-    def _key_objection(self, message, attempt_id):
-        objection = self._key_rules.objection(message)
-        if objection is not None:
-            return objection
-        hold = self._ledger.hold(message.request_id, attempt_id)
-        if hold is None:
-            return None
-        # It says nothing of the key, so the hold need not be prolonged for its sake.
-        return refused(
-            Reason.NOT_READY,
-            "The key was refused a moment ago.",
-            retry_after_s=hold.deadline.left_s(),
-        )
-
     async def _join(self, execution, attempt_id, message, link):
         if not execution.holds(wanted_offset_bytes(message)):
             end = unknown(Reason.ANSWER_GONE, "Bytes that are wanted are gone.")
--- a/siskinthread/execution/_runner.py
+++ b/siskinthread/execution/_runner.py
@@ -5,6 +5,7 @@
 import curio
 
 from siskinthread.execution._keys import refused
+from siskinthread.execution._start_rules import overloaded
 from siskinthread.observability import part_logger
 from siskinthread.outcomes import End, Head, Outcome, Part, Reason
 from siskinthread.targets import open_call
@@ -63,7 +64,7 @@
         if placed.runs:
             await self._begin(execution)
         if placed.displaced is not None:
-            await self.finish(placed.displaced, self.overloaded())
+            await self.finish(placed.displaced, overloaded(self._settings))
 
     async def go_on(self, execution, call):
         """Run an execution whose call goes on since an earlier incarnation."""
@@ -71,14 +72,6 @@
         self.turns.running.add(execution)
         execution.task = await curio.spawn(self._run, execution, daemon=True)
 
-    def overloaded(self):
-        """Return the end of a request for which there is no room."""
-        return refused(
-            Reason.OVERLOADED,
-            "Too many requests wait at the target.",
-            retry_after_s=self._settings.overload_retry_s,
-        )
-
     async def _begin(self, execution):
         execution.call = open_call(self._target, execution.request)
         execution.task = await curio.spawn(self._run, execution, daemon=True)
--- a/siskinthread/execution/_server.py
+++ b/siskinthread/execution/_server.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from siskinthread.control import LinkListener
+from siskinthread.control import answer_operator, LinkListener, OPERATOR_ROLE
 from siskinthread.errors import ConnectionLostError, ProtocolError
 from siskinthread.execution._handler import AttemptHandler
 from siskinthread.execution._keys import KeyRules
@@ -186,6 +186,8 @@
         hello, frames = await shake_hands(
             channel, self._identity, self.peer_settings, dialled=False
         )
+        if hello.role == OPERATOR_ROLE:
+            await answer_operator(channel, frames, self.control)
         if hello.role != ENTRY_ROLE:
             raise ProtocolError(f"{hello.host} is no entry")
         link = Link(channel, hello, self)
