--- a/siskinthread/links/tests/relay_benchmark.py
+++ b/siskinthread/links/tests/relay_benchmark.py
@@ -36,6 +36,7 @@
 )
 
 AGENTS = 16
+CONNECT_LIMIT_S = 10
 STREAMS_PER_AGENT = 25
 TOKEN = b'data: {"choices":[{"index":0,"delta":{"content":"token"}}]}\n\n' * 2
 SETTINGS = {"heartbeat_interval_s": 1.0, "silence_limit_s": 3.0, "window_bytes": 262144}
@@ -48,7 +49,11 @@
     while True:
         socket, _ = await listener.accept()
         channel = Channel(socket, Frame, 4 * 1024 * 1024)
-        await shake_hands(channel, identity, peer_settings(**SETTINGS), dialled=False)
+        try:
+            await shake_hands(channel, identity, peer_settings(**SETTINGS), False)
+        except ConnectionLostError:
+            await channel.close()
+            continue
         attempts = []
         sender = await curio.spawn(
             send_until_lost, channel, attempts, tokens_per_s, daemon=True
@@ -119,8 +124,9 @@
         {f"agent-{n}": Address("127.0.0.1", port + n) for n in range(AGENTS)}
     )
     await curio.spawn(links.run, daemon=True)
-    while len(links.connected_hosts()) < AGENTS:
-        await curio.sleep(0.05)
+    async with curio.timeout_after(CONNECT_LIMIT_S):
+        while len(links.connected_hosts()) < AGENTS:
+            await curio.sleep(0.05)
     counts = [0, 0]
     for number in range(AGENTS * STREAMS_PER_AGENT):
         exchange = await links.start(
