Measure the path from callers to engines

`siskinthread measure path` starts one entry, 16 agents, 16 stand-ins of engines and callers as processes on loopback and measures processor time, memory, time added to the first token and capacity at multiples of the plan's share of an entry host.

Time that a process was ready without a core, and the processor time of a fixed loop, are noted, since the machine is shared.

--- a/siskinthread/measurement/_path_load.py
+++ b/siskinthread/measurement/_path_load.py
@@ -18,7 +18,7 @@
 from siskinthread.measurement._first_token import next_step_wait_s
 from siskinthread.measurement._path_schedule import LoadLevel, schedule
 from siskinthread.measurement._process_usage import core_share, read_usage
-from standins.tokens import expected_answer
+from standins.tokens import DONE_EVENT, expected_answer
 
 REQUESTS_PATH = "/v1/requests"
 CANCEL_WAIT_S = 5.0
@@ -203,7 +203,8 @@
         order.window_starts_at_s <= arrival_s < order.window_ends_at_s
         for arrival_s in arrivals_s
     )
-    return answer.body.count(EVENT_END) * within / len(arrivals_s)
+    tokens = answer.body.count(EVENT_END) - answer.body.count(DONE_EVENT)
+    return tokens * within / len(arrivals_s)
 
 
 class LoadRun:
--- a/siskinthread/measurement/_path_run.py
+++ b/siskinthread/measurement/_path_run.py
@@ -3,7 +3,6 @@
 It needs the checkout's scripts; see `siskinthread.measurement._checkout`.
 """
 
-import os
 import sys
 import time
 from pathlib import Path
@@ -13,15 +12,16 @@
 from scripts._cluster import Cluster, control
 from scripts._cluster_options import ClusterOptions
 from siskinthread.errors import MeasurementError
-from siskinthread.measurement._path_load import LoadOrder, LoadResult
-from siskinthread.measurement._path_report import (
-    AGENT,
-    ENTRY,
+from siskinthread.measurement._machine import watch_machine
+from siskinthread.measurement._path_figures import (
     LevelFigures,
     LoadFigures,
-    PathReport,
+    MEDIAN,
     RoleFigures,
+    TAIL,
 )
+from siskinthread.measurement._path_load import LoadOrder, LoadResult
+from siskinthread.measurement._path_report import AGENT, ENTRY, PathReport
 from siskinthread.measurement._path_schedule import LoadLevel
 from siskinthread.measurement._process_usage import core_share, read_usage, wait_share
 
@@ -166,11 +166,11 @@
         callers = [self._start_callers(order) for order in orders]
         await _sleep_until(orders[0].window_starts_at_s)
         usages, made = self._read_usages(), await self._made_tokens()
-        await _sleep_until(orders[0].window_ends_at_s)
+        machine = await watch_machine(orders[0].window_ends_at_s)
         roles = _role_figures(usages, self._read_usages())
         made_tokens_per_s = (await self._made_tokens() - made) / level.window_s
         load = LoadFigures.of(level, await self._collect(callers, orders))
-        figures = LevelFigures(level, load, made_tokens_per_s, roles, _load_average())
+        figures = LevelFigures(level, load, made_tokens_per_s, roles, machine)
         self._say(_describe(figures))
         await curio.sleep(SETTLE_S)
         return figures
@@ -251,16 +251,12 @@
     return (
         f"{level.name}: {level.tokens_per_s:.0f} tokens/s offered, "
         f"{100 * figures.delivered_share:.1f} % arrived, first token "
-        f"{load.first_token_ms(0.5):.1f} ms, 99th percentile "
-        f"{load.first_token_ms(0.99):.1f} ms, entry "
+        f"{load.first_token_ms(MEDIAN):.1f} ms, 99th percentile "
+        f"{load.first_token_ms(TAIL):.1f} ms, entry "
         f"{100 * entry.core_share:.1f} % of a core (waited "
         f"{100 * entry.wait_share:.1f} % of the time)"
     )
 
 
-def _load_average():
-    return os.getloadavg()[0]
-
-
 async def _sleep_until(time_s):
     await curio.sleep(max(0.0, time_s - time.monotonic()))
