Wait briefly for a link to a target, look less often at lost ones

Waiting for any link did not help drafts while only plain services were connected.

Ruled out: waiting up to the deadline (an answer must not be held back), and waiting after a refusal by every target.

A request waits link_wait_s (0.5 s, or half of the time left) for a target of its service, but not once a target has refused it. Choice and state of the configuration come from one step. A request that may be repeated looks at its link every lost_link_wait_s instead of every 0.1 s, since several hundred waiting requests would have spent a good part of a core on looking.

Without the wait its test fails; with a wait after refusals the other test does not end (stopped after 40 s).

--- a/siskinthread/dispatch/_answer.py
+++ b/siskinthread/dispatch/_answer.py
@@ -134,19 +134,16 @@
             self._finish(self._earlier_end)
 
     async def _begin_attempt(self):
-        await self._choice.wait_for_link()
+        chosen = await self._choice.choose()
         if self._cancelled:
             return False
-        # The target and the version of the homes that the frame states have to come
-        # from one state, hence no await between the two.
-        state = self._dispatcher.view.state
-        chosen = self._choice.choose(state)
         if isinstance(chosen, End):
             self._finish(self._earlier_end or chosen)
             return False
         self._attempt_count += 1
-        attempt = self._attempt = Attempt(self._dispatcher, self._request, chosen)
-        await attempt.start(state)
+        attempt = Attempt(self._dispatcher, self._request, chosen.host)
+        self._attempt = attempt
+        await attempt.start(chosen.state)
         if self._cancelled:
             # While it was being started, there was nothing to cancel yet.
             await attempt.cancel()
--- a/siskinthread/dispatch/_attempt.py
+++ b/siskinthread/dispatch/_attempt.py
@@ -4,7 +4,6 @@
 
 from siskinthread.dispatch._starting import build_start_request
 from siskinthread.outcomes import End, Outcome, Reason
-from siskinthread.timing import Deadline
 
 
 class Attempt:
@@ -68,7 +67,7 @@
         Returns
         -------
         Head, Part or End
-            ``UNKNOWN`` once the link has been down for ``lost_link_wait_s``.
+            ``UNKNOWN`` once the link was down at two looks, ``lost_link_wait_s`` apart.
 
         Notes
         -----
@@ -77,24 +76,18 @@
         requests; these would wait with it although any other target could answer them.
         One would notice first bytes that come only after ``reask_limit_s``.
         """
-        settings = self._dispatcher.settings
-        give_up = None
+        interval_s = self._dispatcher.settings.lost_link_wait_s
+        was_down = False
         while True:
-            event = await curio.ignore_after(
-                settings.link_check_interval_s, self.exchange.next_event
-            )
+            event = await curio.ignore_after(interval_s, self.exchange.next_event)
             if event is not None:
                 return event
-            if self._dispatcher.is_connected(self.host):
-                give_up = None
-            elif give_up is None:
-                give_up = Deadline.after(
-                    self._dispatcher.clock, settings.lost_link_wait_s
-                )
-            elif give_up.passed():
+            is_down = not self._dispatcher.is_connected(self.host)
+            if is_down and was_down:
                 await self.cancel()
                 message = "The agent is unreachable."
                 return End(Outcome.UNKNOWN, Reason.AGENT_UNREACHABLE, message)
+            was_down = is_down
 
     def note_first_byte(self):
         """Tell the router that the first byte of the body has come."""
--- a/siskinthread/dispatch/_choice.py
+++ b/siskinthread/dispatch/_choice.py
@@ -6,6 +6,24 @@
 from siskinthread.timing import Deadline
 
 
+class ChosenTarget:
+    """A target and the configuration by which it was chosen.
+
+    Parameters
+    ----------
+    host : str
+        Name of the target's host.
+    state : siskinthread.configuration.State
+        The configuration in force at the choice.
+    """
+
+    __slots__ = ("host", "state")
+
+    def __init__(self, host, state):
+        self.host = host
+        self.state = state
+
+
 class TargetChoice:
     """Chooses the targets of one request, no target twice.
 
@@ -24,8 +42,13 @@
         self._request = request
         self._tried_hosts = set()
 
-    async def wait_for_link(self):
-        """Wait a little until the request may find a target.
+    async def choose(self):
+        """Choose a target; wait a little for a link if there is none.
+
+        Returns
+        -------
+        ChosenTarget or siskinthread.outcomes.End
+            The target, or why there is none.
 
         Notes
         -----
@@ -33,28 +56,28 @@
         target to go to; and an entry that was paused finds all of its links closed when
         it goes on, and would refuse everything that came meanwhile.
         """
-        dispatcher = self._dispatcher
-        half_left_s = self._request.deadline.left_s() / 2
-        wait_s = min(dispatcher.settings.link_wait_s, half_left_s)
-        limit = Deadline.after(dispatcher.clock, wait_s)
-        if self._request.idempotency_key is None:
-            await dispatcher.links.wait_until_connected(limit)
-        else:
-            await self._wait_for_home(limit)
-
-    def choose(self, state):
-        """Choose a host by a state of the configuration.
-
-        Parameters
-        ----------
-        state : siskinthread.configuration.State or None
-            The state in force.
+        limit = self._wait_limit()
+        while True:
+            chosen = self._choose_now()
+            if isinstance(chosen, ChosenTarget) or limit.passed():
+                return chosen
+            interval_s = self._dispatcher.settings.link_check_interval_s
+            await curio.sleep(min(interval_s, limit.left_s()))
 
-        Returns
-        -------
-        str or siskinthread.outcomes.End
-            Name of the host, or why there is none.
-        """
+    def _wait_limit(self):
+        dispatcher = self._dispatcher
+        wait_s = min(
+            dispatcher.settings.link_wait_s, self._request.deadline.left_s() / 2
+        )
+        if self._tried_hosts and not self._keyed:
+            # Its other targets have refused it; its caller shall hear so at once.
+            wait_s = 0.0
+        return Deadline.after(dispatcher.clock, wait_s)
+
+    def _choose_now(self):
+        # The target and the version of the homes that the frame states have to come
+        # from one state, hence no await between the two.
+        state = self._dispatcher.view.state
         if state is None:
             return _refusal(Reason.NOT_READY, "No configuration is known yet.")
         if self._request.deadline.passed():
@@ -64,23 +87,21 @@
         if host is None:
             return _refusal(Reason.NO_TARGET, "No target can take the request now.")
         self._tried_hosts.add(host)
-        return host
-
-    async def _wait_for_home(self, limit):
-        interval_s = self._dispatcher.settings.link_check_interval_s
-        while self._connected_host() is None and not limit.passed():
-            await curio.sleep(min(interval_s, limit.left_s()))
+        return ChosenTarget(host, state)
 
     def _connected_host(self):
-        keyed = self._request.idempotency_key is not None
-        excluded = frozenset() if keyed else self._tried_hosts
+        excluded = frozenset() if self._keyed else self._tried_hosts
         host = self._dispatcher.router.choose(self._request, excluded)
-        if keyed and host is not None:
+        if self._keyed and host is not None:
             self._dispatcher.want_link(host)
         # Handed to a link that is down, the request would wait there; the caller would
         # hear "not run" too late to go anywhere else.
         return host if self._dispatcher.is_connected(host) else None
 
+    @property
+    def _keyed(self):
+        return self._request.idempotency_key is not None
+
 
 def _refusal(reason, message):
     return End(Outcome.REFUSED_NOT_RUN, reason, message)
--- a/siskinthread/dispatch/_settings.py
+++ b/siskinthread/dispatch/_settings.py
@@ -37,9 +37,10 @@
     lost_link_wait_s = Item(
         float,
         default=0.5,
-        minimum=0.0,
-        description="Time for which a link must be down before a request that may be "
-        "repeated, and of which nothing was shown, goes elsewhere.",
+        minimum=0.001,
+        description="Time between looks at the link of a request that may be repeated "
+        "and of which nothing was shown; it goes elsewhere after two looks at a link "
+        "that is down.",
     )
     link_check_interval_s = Item(
         float,
--- a/siskinthread/dispatch/tests/fakes.py
+++ b/siskinthread/dispatch/tests/fakes.py
@@ -83,18 +83,12 @@
         self.starts = []
         self.exchanges = []
         self.wait = None
-        self.waits = 0
         self.cancelled = 0
 
     def status(self, host):
         """Return a status; hosts in `down` are not connected."""
         return FakeStatus(host not in self.down)
 
-    async def wait_until_connected(self, deadline):
-        """Count the calls; the links are up from then on."""
-        self.waits += 1
-        self.down = ()
-
     async def start(self, host, start_request, deadline):
         """Note the frame and play the next script."""
         self.starts.append((host, start_request))
@@ -159,7 +153,7 @@
             longest_back_off_s=0.0,
             home_back_off_s=0.0,
             link_wait_s=0.0,
-            lost_link_wait_s=0.0,
+            lost_link_wait_s=0.001,
             link_check_interval_s=0.001,
         )
         self.dispatcher = Dispatcher(
--- a/siskinthread/dispatch/tests/test_keys.py
+++ b/siskinthread/dispatch/tests/test_keys.py
@@ -19,16 +19,36 @@
 KEY = "key/varsel/varsel-team/crossing-17"
 
 
-def test_request_waits_a_little_while_no_link_is_up():
+def test_request_waits_a_little_while_no_link_to_a_target_is_up():
     """An entry that was paused does not refuse what came meanwhile.
 
     Symptom: one request in ten is refused, ``no_target``, by an entry that stood still
     for two seconds.  Sequence: the agents closed its links; on waking it reads the
     callers' requests before the new links are up.  Cause: it did not wait for them.
     """
-    bench = Bench(ANSWER, down=("a",))
+    bench = Bench(ANSWER)
+    bench.settings.values["link_wait_s"] = 1.0
+    hosts = [None, None, "a"]
+    bench.router.choose = lambda request, excluded: hosts.pop(0)
     assert run(bench) == ANSWER
-    assert bench.links.waits == 1
+    assert hosts == []
+
+
+def test_refused_request_without_another_target_does_not_wait():
+    """A request that all targets refused is answered at once."""
+    bench = Bench([refused()], hosts=("a",))
+    bench.settings.values["link_wait_s"] = 1.0
+    choices = []
+    choose = bench.router.choose
+
+    def note_choice(request, excluded):
+        choices.append(choose(request, excluded))
+        return choices[-1]
+
+    bench.router.choose = note_choice
+    (final,) = run(bench)
+    assert final.reason is Reason.LEAVING
+    assert choices == ["a", None]
 
 
 def test_missing_link_to_a_home_is_wanted():
--- a/siskinthread/tests/test_dispatch_differential.py
+++ b/siskinthread/tests/test_dispatch_differential.py
@@ -70,9 +70,6 @@
         """Every link is up."""
         return FakeStatus(True)
 
-    async def wait_until_connected(self, deadline):
-        """Every link is up."""
-
     async def start(self, host, start_request, deadline):
         """Run the deed of the request's next attempt."""
         request_id = start_request.request_id
