Test that a request over the frame limit disturbs no other

Cause: the check had no test. Ruled out: counting connections right after the refusal; the agent's side may count later than the entry's (the first version of the test failed by that). Change: one test in test_exchange.py. Shown failing with the check taken out on a scratch copy: the request then ended as never_received, after the agent had closed the connection over it, instead of bad_request.

--- a/siskinthread/links/tests/test_exchange.py
+++ b/siskinthread/links/tests/test_exchange.py
@@ -16,7 +16,7 @@
     running_links,
     wait_connected,
 )
-from siskinthread.outcomes import Outcome
+from siskinthread.outcomes import Outcome, Reason
 from siskinthread.wire import Acknowledge, ResponseHead, ResponsePart
 
 BODY = bytes(range(256)) * 20
@@ -74,6 +74,30 @@
     run(main)
 
 
+def test_request_over_the_frame_limit_is_refused_and_disturbs_nobody():
+    """A request that doesn't fit a frame is refused before it reaches the link.
+
+    Symptom: every stream of a link breaks at once.  Sequence: one request is larger
+    than the agent's frame limit; the agent closes the connection over it.  Cause: the
+    limit is found out by the peer only.
+    """
+
+    async def main():
+        agent = FakeAgent(peer_settings(frame_limit_bytes=4096), BODY)
+        async with running_links(agent) as links:
+            await wait_connected(links)
+            request = start_request(body=b"x" * 4096)
+            received = await drain(await links.start(HOST, request, deadline_after()))
+            assert received.end.outcome == Outcome.REFUSED_NOT_RUN
+            assert received.end.reason == Reason.BAD_REQUEST
+            another = start_request("r-2")
+            received = await drain(await links.start(HOST, another, deadline_after()))
+            assert received.end.outcome == Outcome.ANSWERED
+            assert agent.connections == 1
+
+    run(main)
+
+
 class RecordingLink:
     """Stands in for a link; keeps what is sent."""
 
