Count present entry hosts through long outages of the host list

Each entry host counted in the division of limits from when it was last read. After ten minutes without the host list none was left, and every entry host would have granted every account its whole limit.

Hosts that are present now count without a time; only those that vanished have one. An answer that is the same object as the last one, as the client returns it while the list is unchanged, is passed over, unless a host is held and its grace may end.

Ruled out: noting the hosts again at each failed read (the count would then depend on the follower's task).

--- a/siskinthread/membership/_declared.py
+++ b/siskinthread/membership/_declared.py
@@ -22,21 +22,28 @@
     that time, which errs on the side of a smaller sum.
     """
 
-    __slots__ = ("_clock", "_deadlines", "_settings")
+    __slots__ = ("_clock", "_present", "_settings", "_vanished")
 
     def __init__(self, settings, clock):
         self._settings = settings
         self._clock = clock
-        self._deadlines = {}
+        self._present = frozenset()
+        self._vanished = {}
 
     def note(self, hosts):
         """Take in the names of the entry hosts that are known now."""
         deadline = Deadline.after(self._clock, self._settings.entry_memory_s)
-        for host in hosts:
-            self._deadlines[host] = deadline
+        self._vanished.update(dict.fromkeys(self._present.difference(hosts), deadline))
+        self._present = frozenset(hosts)
+        for host in self._present.intersection(self._vanished):
+            del self._vanished[host]
 
     def count(self):
-        """Return the number of entry hosts that count."""
-        for host in [host for host, end in self._deadlines.items() if end.passed()]:
-            del self._deadlines[host]
-        return len(self._deadlines)
+        """Return the number of entry hosts that count.
+
+        Those that are present count however long the list has been down.
+        """
+        passed = [host for host, end in self._vanished.items() if end.passed()]
+        for host in passed:
+            del self._vanished[host]
+        return len(self._present) + len(self._vanished)
--- a/siskinthread/membership/_view.py
+++ b/siskinthread/membership/_view.py
@@ -48,6 +48,7 @@
         "_known",
         "_listeners",
         "_settings",
+        "_settled_answer",
         "is_connected",
     )
 
@@ -56,6 +57,8 @@
         self._clock = clock
         self._known = {}
         self._held = {}
+        # The client returns the same object while the list is unchanged.
+        self._settled_answer = None
         self._agents = {}
         self._entries = {}
         self._listeners = []
@@ -111,6 +114,8 @@
         """
         if not entries:
             return False
+        if entries is self._settled_answer:
+            return True
         listed = {entry.host: entry for entry in entries}
         plausible = self._judge.plausible(self._known, listed)
         before = self._known
@@ -121,6 +126,7 @@
         self._split_by_role()
         if _differ(before, self._known) or _held_differ(held_before, self._held):
             self._tell_listeners()
+        self._settled_answer = entries if plausible and not self._held else None
         return plausible
 
     def _hold_missing(self, listed, plausible):
--- a/siskinthread/membership/tests/test_membership.py
+++ b/siskinthread/membership/tests/test_membership.py
@@ -162,6 +162,26 @@
     assert view.declared_entry_count() == 6
 
 
+def test_entries_count_through_an_outage_of_any_length(view, clock):
+    """Symptom: each entry host grants every account its whole limit.
+
+    Events: the host list is down for longer than vanished hosts are remembered.  Cause:
+    hosts counted from when they were last read, and none was left.
+    """
+    clock.advance(10_000.0)
+    assert view.declared_entry_count() == 6
+
+
+def test_unchanged_answer_still_ends_a_grace(view, clock, connected):
+    """The same answer again removes a held host once its grace has passed."""
+    connected.add("agent-3")
+    answer = without({"agent-3"}, lines())
+    view.replace(answer)
+    clock.advance(31.0)
+    view.replace(answer)
+    assert "agent-3" not in view.agents()
+
+
 def test_declared_count_follows_in_the_end(view, clock):
     """After the memory has passed, hosts that are gone no longer count."""
     gone = {"entry-5"}
