Tell slow targets sooner and damp the comparison of failure domains

Cause: each entry host learns of the slow target for itself, from five slow answers of six; 0.7 percent of all requests went there. Cause: entry hosts compare failure domains by the mean of late reports and correct it N times, as with single targets. Change: the difference of a failure domain's mean to the overall one counts 0.6.

--- a/siskinthread/routing/_health.py
+++ b/siskinthread/routing/_health.py
@@ -102,7 +102,7 @@
         bad = [
             host
             for host, target in known.items()
-            if not target.ejected and self._is_bad(target, slow_limit_s)
+            if not target.ejected and self._is_bad(host, slow_limit_s)
         ]
         bad.sort(key=lambda host: self._badness(known[host]), reverse=True)
         self._eject(bad, hosts)
@@ -121,12 +121,14 @@
         )
         return slow_s, fast_s
 
-    def _is_bad(self, target, slow_limit_s):
-        return (
-            self._is_silent(target)
-            or self._is_failing(target)
-            or (target.is_judged(self._settings) and target.first_byte_s > slow_limit_s)
-        )
+    def _is_bad(self, host, slow_limit_s):
+        target = self._targets[host]
+        if self._is_silent(target) or self._is_failing(target):
+            return True
+        if not target.is_judged(self._settings):
+            return False
+        is_calm = self._loads.load_without([host], ()) < self._settings.calm_load
+        return target.is_slow(slow_limit_s, is_calm)
 
     def _is_silent(self, target):
         # A dispatcher that tells first bytes only at the end of a stream makes every
--- a/siskinthread/routing/_loads.py
+++ b/siskinthread/routing/_loads.py
@@ -23,7 +23,8 @@
     All entry hosts react to the same reports.  If each of N corrected the whole
     difference that a report shows between two targets, together they would correct it
     N times, and back again after the next report.  Of the others' work, the difference
-    to the mean of the failure domain therefore counts with ``others_weight`` only.
+    to the mean of the failure domain therefore counts with ``others_weight`` only, and
+    the difference of that mean to the one of all targets with ``domain_weight``.
     """
 
     __slots__ = (
@@ -58,7 +59,7 @@
                 del self._works[host]
 
     def mean_others_counts(self, hosts):
-        """Return the others' mean work by failure domain.
+        """Return the others' mean work by failure domain, drawn to the overall mean.
 
         Parameters
         ----------
@@ -73,7 +74,12 @@
         for host in hosts:
             domain = self._membership.failure_domain(host)
             counts.setdefault(domain, []).append(self._others_count(host))
-        return {domain: sum(values) / len(values) for domain, values in counts.items()}
+        overall_count = sum(map(sum, counts.values())) / max(1, len(hosts))
+        weight = self._settings.domain_weight
+        return {
+            domain: overall_count + weight * (sum(values) / len(values) - overall_count)
+            for domain, values in counts.items()
+        }
 
     def work_count(self, host, mean_others_counts):
         """Return the estimated requests at a host, running or waiting."""
@@ -109,7 +115,7 @@
         Returns
         -------
         float or None
-            None if no target of the service has a link.
+            None if no target of the service has reported its load lately.
         """
         cached = self._service_loads.get(service_name)
         if cached is not None and not cached[0].passed():
@@ -118,22 +124,32 @@
             host
             for host in self._links.connected_hosts()
             if service_name in self._links.status(host).services
+            and self._has_report(host)
         ]
         load = self.load_without(hosts, ()) if hosts else None
         refresh = Deadline.after(self._clock, self._settings.pool_refresh_s)
         self._service_loads[service_name] = refresh, load
         return load
 
+    def _has_report(self, host):
+        # Without a report the capacity is unknown; counted as one request, it would
+        # make a service that has just started look overloaded.
+        return self._followed_work(host).others_count is not None
+
     def _others_count(self, host):
-        work = self._work(host)
-        status = self._links.status(host)
-        if status is not None:
-            work.follow_report(status, self._clock.monotonic_s())
+        work = self._followed_work(host)
         if work.others_count is not None:
             return work.others_count
         other_entry_count = max(0, len(self._membership.entries()) - 1)
         return work.own_count * other_entry_count
 
+    def _followed_work(self, host):
+        work = self._work(host)
+        status = self._links.status(host)
+        if status is not None:
+            work.follow_report(status, self._clock.monotonic_s())
+        return work
+
     def _work(self, host):
         work = self._works.get(host)
         if work is None:
--- a/siskinthread/routing/_settings.py
+++ b/siskinthread/routing/_settings.py
@@ -38,6 +38,13 @@
         description="Weight of the difference between the other entry hosts' work at a "
         "target and its mean over the failure domain.",
     )
+    domain_weight = Item(
+        float,
+        default=0.6,
+        minimum=0.0,
+        description="Weight of the difference between the other entry hosts' mean work "
+        "in a failure domain and their mean work everywhere.",
+    )
     report_smoothing = Item(
         float,
         default=0.2,
@@ -105,6 +112,14 @@
         minimum=1,
         description="First-byte times that are needed to judge a target.",
     )
+    calm_load = Item(
+        float,
+        default=0.8,
+        minimum=0.0,
+        description="Load, as a share of its capacity, below which two slow first "
+        "bytes in a row are enough to eject a target; above, they may come from its "
+        "queue and three of four are needed.",
+    )
     ejection_limit_fraction = Item(
         float,
         default=0.25,
@@ -113,7 +128,7 @@
     )
     ejection_load_limit = Item(
         float,
-        default=0.95,
+        default=0.9,
         minimum=0.0,
         description="Load of the remaining targets, as a share of their capacity, up "
         "to which a slow target is ejected.",
--- a/siskinthread/routing/_target_health.py
+++ b/siskinthread/routing/_target_health.py
@@ -4,8 +4,9 @@
 
 from siskinthread.timing import Deadline
 
-WINDOW_COUNT = 6
+WINDOW_COUNT = 4
 USED_RANK = 1
+CALM_COUNT = 2
 
 
 class TargetHealth:
@@ -82,6 +83,20 @@
         oldest_s = next(iter(self._pending.values()))
         return now_s - max(oldest_s, self._last_sign_at_s)
 
+    def is_slow(self, limit_s, is_calm):
+        """Return whether the first-byte times are beyond a limit.
+
+        Parameters
+        ----------
+        limit_s : float
+            The limit, seconds.
+        is_calm : bool
+            Whether the target has room, so that the last times hold no waiting.
+        """
+        if is_calm and min(list(self._recent_s)[-CALM_COUNT:]) > limit_s:
+            return True
+        return self.first_byte_s > limit_s
+
     def is_judged(self, settings):
         """Return whether enough first-byte times are known to compare the target."""
         enough = self.sample_count >= settings.slow_sample_count
--- a/siskinthread/routing/_work.py
+++ b/siskinthread/routing/_work.py
@@ -2,8 +2,6 @@
 
 import collections
 
-MILLISECONDS_PER_SECOND = 1000.0
-
 
 class TargetWork:
     """What this entry host has sent to one target, and what others seem to have.
@@ -23,8 +21,10 @@
     same least loaded target; if all went by the report alone, they would flood it
     until the next report, noticeable as queues that jump from target to target at the
     pace of the reports.  So this entry host's own requests are counted exactly, and the
-    report only gives the others' part: what it holds beyond the own requests of its
-    time, smoothed over reports, since of a single late one little is still true.
+    report only gives the others' part: what it holds beyond the own requests in flight
+    when it arrived, smoothed over reports, since of a single late one little is still
+    true.  The age that a report states is that of the split into running and waiting;
+    their sum is counted by the agent as it writes the frame.
     """
 
     __slots__ = (
@@ -66,14 +66,14 @@
         now_s : float
             Monotonic clock, seconds.
         """
+        received_at_s = status.load_received_at_s
         oldest_s = now_s - self._settings.report_limit_s
-        report_at_s = _report_time_s(status)
-        if report_at_s < oldest_s:
+        if status.load is None or received_at_s < oldest_s:
             self.others_count = None
             self._forget_before(oldest_s)
-        elif status.load_received_at_s != self._report_received_at_s:
-            self._report_received_at_s = status.load_received_at_s
-            self._forget_before(report_at_s)
+        elif received_at_s != self._report_received_at_s:
+            self._report_received_at_s = received_at_s
+            self._forget_before(received_at_s)
             self._take_report(status.load)
 
     def _take_report(self, report):
@@ -92,13 +92,6 @@
         _drop_before(self._ended_at_s, time_s)
 
 
-def _report_time_s(status):
-    if status.load is None or status.load_received_at_s is None:
-        return float("-inf")
-    age_s = (status.load.age_ms or 0) / MILLISECONDS_PER_SECOND
-    return status.load_received_at_s - age_s
-
-
 def _drop_before(times_s, limit_s):
     while times_s and times_s[0] <= limit_s:
         times_s.popleft()
