--- a/scripts/_cluster.py
+++ b/scripts/_cluster.py
@@ -90,7 +90,8 @@
         """Start the daemon of a host, the first time or again."""
         if node.settings_path is None:
             node.settings_path = self._write_settings(node)
-        program = [sys.executable, "-m", "siskinthread", node.role]
+        # As operators start it: curio's assertions cost a busy entry much of its time.
+        program = [sys.executable, "-O", "-m", "siskinthread", node.role]
         arguments = [*program, "--settings", str(node.settings_path)]
         node.process = self._processes.start(node.name, arguments)
 
