Run a group's controller in the agents

Cause: planning and changing of expert maps ran in tests only. Change: an agent with a rank guards it by its gate, claims the group with the other agents through the ownership stream, and plans and changes the map while it owns the group; changes go to the audit trail. Ranks that configuration and map do not agree on are left alone. make experts runs it with real processes. Ruled out: statistics as heartbeats, 90 KB/s at 256 ranks by reckoning; a bare heartbeat frame is some 12 bytes a rank.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.installed
 
-.PHONY: test demo explore faults capacity shares pages format generate clean
+.PHONY: test demo experts explore faults capacity shares pages format generate clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +19,9 @@
 demo: $(READY)
 	$(BIN)/python scripts/demo.py
 
+experts: $(READY)
+	$(BIN)/python scripts/demo_experts.py
+
 # Failure runs on real daemons over loopback; several minutes.
 faults: $(READY)
 	$(BIN)/python scripts/demo_failures.py
--- a/siskinthread/daemons/_agent.py
+++ b/siskinthread/daemons/_agent.py
@@ -6,6 +6,7 @@
 
 from siskinthread.configuration import ConfigurationView
 from siskinthread.control import ControlPlane
+from siskinthread.daemons._group_duties import GroupDuties
 from siskinthread.daemons._supervision import run_until_stopped
 from siskinthread.execution import AgentServer, StatusServer
 from siskinthread.membership import follow_host_list, MembershipView
@@ -53,6 +54,7 @@
 
     __slots__ = (
         "_control",
+        "_duties",
         "_membership",
         "_metrics",
         "_server",
@@ -89,6 +91,18 @@
             self._metrics,
             self._control,
         )
+        self._duties = None
+        if settings.rank.group:
+            self._duties = GroupDuties(
+                settings,
+                identity,
+                self._view,
+                self._membership,
+                LogClient(settings.platform),
+                clock,
+                self._metrics,
+            )
+            self._server.rank_service = self._duties.service
 
     async def run(self):
         """Run until a stop signal and the drain after it."""
@@ -106,6 +120,8 @@
             "configuration": self._control.run,
             "membership": self._follow_host_list,
         }
+        if self._duties is not None:
+            tasks |= self._duties.tasks()
         await run_until_stopped(tasks, self._drain)
 
     async def _follow_host_list(self):
--- a/siskinthread/daemons/_agent_settings.py
+++ b/siskinthread/daemons/_agent_settings.py
@@ -1,9 +1,12 @@
 """Settings of the agent daemon."""
 
+from siskinthread.audit import AuditSettings
 from siskinthread.configuration import ConfigurationSettings
 from siskinthread.execution import ExecutionSettings
+from siskinthread.experts import PlannerSettings, RankSettings
 from siskinthread.membership import MembershipSettings
 from siskinthread.observability import LoggingSettings
+from siskinthread.ownership import OwnershipSettings
 from siskinthread.platform import PlatformSettings
 from siskinthread.settings import Address, Item, Section, StringList
 from siskinthread.targets import TargetSettings
@@ -36,4 +39,10 @@
     )
     membership = Item(MembershipSettings, description="Following the host list.")
     execution = Item(ExecutionSettings, description="Execution of requests.")
+    rank = Item(RankSettings, description="The rank of a model group on this host.")
+    planner = Item(
+        PlannerSettings, description="Planning of the group's expert maps, if owned."
+    )
+    ownership = Item(OwnershipSettings, description="Claims of the group.")
+    audit = Item(AuditSettings, description="Writing of the audit trail.")
     logging = Item(LoggingSettings, description="Logging.")
--- a/siskinthread/daemons/_entry.py
+++ b/siskinthread/daemons/_entry.py
@@ -7,7 +7,7 @@
 from siskinthread.admission import Admission, RetryBudget
 from siskinthread.callers import CallerServer
 from siskinthread.configuration import ConfigurationView
-from siskinthread.control import ControlPlane
+from siskinthread.control import ControlPlane, OperatorServer
 from siskinthread.daemons._home_links import HomeLinks
 from siskinthread.daemons._supervision import run_until_stopped
 from siskinthread.dispatch import Dispatcher
@@ -62,6 +62,7 @@
         "_links",
         "_membership",
         "_metrics",
+        "_operators",
         "_server",
         "_settings",
         "_view",
@@ -86,6 +87,7 @@
         self._links = AgentLinks(
             identity, settings.peers, clock, self._metrics, self._control
         )
+        self._operators = OperatorServer(identity, settings.peers, self._control)
         self._home_links = HomeLinks(settings.home_links_limit)
         self._membership.is_connected = self._is_connected
         self._membership.listen(self._reconcile_links)
@@ -100,6 +102,8 @@
             "configuration": self._control.run,
             "membership": self._follow_host_list,
         }
+        if self._settings.peer_listen is not None:
+            tasks["operators"] = self._serve_operators
         await run_until_stopped(tasks, self._drain)
 
     def _build_server(self, clock):
@@ -153,6 +157,11 @@
         _logger.info("Callers are served on %s:%d.", *listening.getsockname())
         await self._server.run(listening)
 
+    async def _serve_operators(self):
+        address = self._settings.peer_listen
+        listening = curio.network.tcp_server_socket(address.host, address.port)
+        await self._operators.run(listening)
+
     async def _follow_host_list(self):
         await follow_host_list(
             HostListClient(self._settings.platform),
--- a/siskinthread/daemons/_entry_settings.py
+++ b/siskinthread/daemons/_entry_settings.py
@@ -18,6 +18,12 @@
     host = Item(str, description="Name of this host in the host list.")
     failure_domain = Item(str, description="Failure domain of this host.")
     callers_listen = Item(Address, description="Where callers connect.")
+    peer_listen = Item(
+        Address,
+        default=None,
+        description="Where `siskinthread status` connects; the host list shows it as "
+        "this host's address. Without it, that command gets no answer from this host.",
+    )
     drain_limit_s = Item(
         float,
         default=60.0,
--- /dev/null
+++ b/siskinthread/daemons/_group_duties.py
@@ -0,0 +1,167 @@
+"""What an agent does for the model group whose rank runs on its host."""
+
+import functools
+import random as random_module
+
+import curio
+
+from siskinthread.audit import map_entry, Pace, Recorder
+from siskinthread.experts import Controller, Objective, RankService, RemoteRanks
+from siskinthread.ownership import Claimer, Heartbeats, Liveness, OwnershipView
+from siskinthread.settings import Address
+
+
+class GroupDuties:
+    """The gate of the rank, the claim of the group, and the controller if it is owned.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Everything that the process is told.
+    identity : Identity
+        This process.
+    view : ConfigurationView
+        The configuration in force.
+    membership : MembershipView
+        Addresses of the other agents.
+    client : LogClient
+        Client of the log.
+    clock : Clock
+        The process's clock.
+    metrics : Metrics
+        The process's metrics.
+    """
+
+    __slots__ = (
+        "_claimer",
+        "_clock",
+        "_controller",
+        "_identity",
+        "_membership",
+        "_owners",
+        "_ranks",
+        "_recorder",
+        "_settings",
+        "_skew",
+        "_view",
+        "service",
+    )
+
+    def __init__(self, settings, identity, view, membership, client, clock, metrics):
+        rank = settings.rank
+        self._settings = settings
+        self._identity = identity
+        self._view = view
+        self._membership = membership
+        self._clock = clock
+        heartbeats = Heartbeats(settings.ownership, clock)
+        self.service = RankService(rank, clock, heartbeats.heard)
+        self._owners = OwnershipView()
+        self._claimer = Claimer(
+            client,
+            self._owners,
+            settings.platform,
+            settings.configuration,
+            settings.ownership,
+            identity.host,
+            identity.incarnation,
+            self._groups,
+            Liveness(membership, heartbeats),
+            clock,
+            metrics,
+        )
+        self._recorder = Recorder(
+            client,
+            settings.platform.audit_stream,
+            settings.audit,
+            Pace(settings.audit, clock, random_module.Random()),
+            identity.host,
+            identity.incarnation,
+            clock,
+            metrics,
+        )
+        self._ranks = RemoteRanks(
+            rank.group, identity, settings.peers, rank.order_wait_s
+        )
+        self._controller = Controller(
+            rank.group,
+            self._ranks,
+            settings.planner,
+            rank.plan_interval_s,
+            functools.partial(self._claimer.confirm, rank.group),
+            self._objective,
+            self._record,
+            clock,
+        )
+        self._skew = metrics.gauge(
+            "experts_skew", "Step-time skew of the group, at its controller."
+        )
+
+    def tasks(self):
+        """Return the coroutine functions to run, by name."""
+        return {
+            "rank": self.service.run,
+            "claims": self._claimer.run,
+            "controller": self._control,
+            "heartbeats": self._send_heartbeats,
+            "map changes": self._recorder.run,
+        }
+
+    def _hosts(self):
+        """Return the hosts of the group's ranks, sorted."""
+        state = self._view.state
+        group = None if state is None else state.groups.get(self._settings.rank.group)
+        if group is None:
+            return []
+        return sorted(
+            host.name
+            for host in state.hosts.values()
+            if group.hosts.matches(host.labels)
+        )
+
+    def _groups(self):
+        hosts = self._hosts()
+        return {self._settings.rank.group: hosts} if hosts else {}
+
+    def _objective(self):
+        state = self._view.state
+        group = None if state is None else state.groups.get(self._settings.rank.group)
+        if group is None:
+            return Objective()
+        return Objective(group.skew_weight, group.cost_weight, group.quiet_windows)
+
+    async def _control(self):
+        while True:
+            agents = self._membership.agents()
+            hosts = self._hosts()
+            # Without the address of one rank no change could reach them all.
+            if hosts and all(host in agents for host in hosts):
+                await self._ranks.reconcile(
+                    {
+                        host: Address(agents[host].address, agents[host].port)
+                        for host in hosts
+                    }
+                )
+                await self._controller.run_once()
+                self._skew.set(self._controller.skew or 0.0)
+            await curio.sleep(self._settings.rank.plan_interval_s)
+
+    async def _send_heartbeats(self):
+        while True:
+            owner = self._owners.owner(self._settings.rank.group)
+            if owner is not None and owner.incarnation == self._identity.incarnation:
+                await self._ranks.send_heartbeat()
+            await curio.sleep(self._settings.peers.heartbeat_interval_s)
+
+    def _record(self, fencing, old_version, version, result):
+        self._recorder.record(
+            map_entry(
+                self._settings.rank.group,
+                self._identity.host,
+                fencing,
+                old_version,
+                version,
+                result,
+                self._clock.unix_ms(),
+            )
+        )
--- a/siskinthread/execution/_server.py
+++ b/siskinthread/execution/_server.py
@@ -18,6 +18,7 @@
 from siskinthread.wire import Channel, Frame, shake_hands
 
 ENTRY_ROLE = "entry"
+AGENT_ROLE = "agent"
 ACCEPT_RETRY_WAIT_S = 0.1
 DRAIN_LOOK_INTERVAL_S = 0.02
 LAST_ENDS_WAIT_S = 2.0
@@ -76,6 +77,8 @@
         Handles the frames of links.
     links : dict of str to Link
         The present link of each entry, by its incarnation.
+    rank_service : siskinthread.experts.RankService or None
+        Serves the controllers of the group whose rank runs on this host.
     """
 
     __slots__ = (
@@ -91,6 +94,7 @@
         "handler",
         "links",
         "peer_settings",
+        "rank_service",
         "settings",
     )
 
@@ -124,6 +128,7 @@
         self._listed_leaving = False
         self._connections = set()
         self.links = {}
+        self.rank_service = None
         self._metrics.watch(parts.ledger, turns, self.links)
 
     @property
@@ -188,6 +193,8 @@
         )
         if hello.role == OPERATOR_ROLE:
             await answer_operator(channel, frames, self.control)
+        if hello.role == AGENT_ROLE and self.rank_service is not None:
+            await self.rank_service.serve(channel, frames)
         if hello.role != ENTRY_ROLE:
             raise ProtocolError(f"{hello.host} is no entry")
         link = Link(channel, hello, self)
--- a/siskinthread/experts/_controller.py
+++ b/siskinthread/experts/_controller.py
@@ -111,6 +111,8 @@
             self._orders = MapChange(self._ranks, fencing)
             self._recovered = False
         reports = await self._ranks.reports()
+        if not self._complete(reports):
+            return None
         if not self._recovered:
             result = await self._recover(reports)
             if result is not ChangeResult.CHANGED:
@@ -118,6 +120,28 @@
             self._recovered = True
         return await self._rebalance(reports)
 
+    def _complete(self, reports):
+        """Return whether the ranks that are known are all that the maps have.
+
+        A published selector may for a while match fewer hosts than the group has
+        ranks.  Ranks that are left out of a change would keep the old map and step
+        with those that have the new one.
+        """
+        counts = {
+            report.expert_map.rank_count
+            for report in reports.values()
+            if report is not None
+        }
+        if counts <= {len(reports)}:
+            return True
+        _logger.warning(
+            "Group %s is left alone: %d ranks are known, its maps have %s.",
+            self._group,
+            len(reports),
+            sorted(counts),
+        )
+        return False
+
     async def _recover(self, reports):
         maps = {
             report.expert_map.version: report.expert_map
--- a/siskinthread/experts/_rank_service.py
+++ b/siskinthread/experts/_rank_service.py
@@ -12,7 +12,13 @@
 )
 from siskinthread.experts._rank_engine import RankEngine
 from siskinthread.experts._rank_gate import RankGate
-from siskinthread.wire import Frame, message_of, RankOrder, RankStatisticsRequest
+from siskinthread.wire import (
+    Frame,
+    Heartbeat,
+    message_of,
+    RankOrder,
+    RankStatisticsRequest,
+)
 
 
 class RankService:
@@ -24,12 +30,15 @@
         The rank.
     clock : Clock
         The process's clock.
+    heard : callable
+        Called with the host of a controller at each sign of its life.
     """
 
-    __slots__ = ("_settings", "engine", "gate")
+    __slots__ = ("_settings", "engine", "gate", "heard")
 
-    def __init__(self, settings, clock):
+    def __init__(self, settings, clock, heard=lambda host: None):
         self._settings = settings
+        self.heard = heard
         self.engine = RankEngine(settings, clock)
         self.gate = RankGate(self.engine, clock, settings.hold_limit_s)
 
@@ -56,7 +65,10 @@
         """
         while True:
             for frame in frames:
+                self.heard(channel.peer_hello.host)
                 message = message_of(frame)
+                if isinstance(message, Heartbeat):
+                    continue
                 if getattr(message, "group", None) != self._settings.group:
                     raise ProtocolError("no frame for the rank of this host")
                 await channel.send(await _answer(message, self))
--- a/siskinthread/experts/_remote_ranks.py
+++ b/siskinthread/experts/_remote_ranks.py
@@ -12,6 +12,7 @@
 )
 from siskinthread.wire import (
     Frame,
+    Heartbeat,
     message_of,
     open_channel,
     RankStatisticsRequest,
@@ -38,7 +39,14 @@
         Longest wait for a reply.
     """
 
-    __slots__ = ("_answer_wait_s", "_channel", "_identity", "_settings", "address")
+    __slots__ = (
+        "_answer_wait_s",
+        "_channel",
+        "_identity",
+        "_lock",
+        "_settings",
+        "address",
+    )
 
     def __init__(self, identity, settings, address, answer_wait_s):
         self._identity = identity
@@ -46,15 +54,28 @@
         self.address = address
         self._answer_wait_s = answer_wait_s
         self._channel = None
+        self._lock = curio.Lock()
 
     async def ask(self, frame):
         """Send a frame and return the message that answers it, or None."""
-        try:
-            async with curio.timeout_after(self._answer_wait_s):
-                return await self._ask(frame)
-        except (ConnectionLostError, ProtocolError, curio.TaskTimeout):
-            await self.close()
-            return None
+        async with self._lock:
+            try:
+                async with curio.timeout_after(self._answer_wait_s):
+                    return await self._ask(frame)
+            except (ConnectionLostError, ProtocolError, curio.TaskTimeout):
+                await self.close()
+                return None
+
+    async def notify(self, frame):
+        """Send a frame that nobody answers, if the connection is up."""
+        async with self._lock:
+            if self._channel is None:
+                return
+            try:
+                async with curio.timeout_after(self._answer_wait_s):
+                    await self._channel.send(frame)
+            except (ConnectionLostError, curio.TaskTimeout):
+                await self.close()
 
     async def close(self):
         """Close the connection."""
@@ -168,6 +189,12 @@
             for host, message in messages.items()
         }
 
+    async def send_heartbeat(self):
+        """Tell every rank that its controller is alive."""
+        frame = Frame(heartbeat=Heartbeat(sequence=next(self._questions)))
+        for connection in self._connections.values():
+            await connection.notify(frame)
+
     async def close(self):
         """Close all connections."""
         for connection in self._connections.values():
