Ask processes for their status as an operator; measure control

Cause: operators could not see which version is in force where, and the cost of control at the plan's size was not known.

--- a/siskinthread/command_line/_root.py
+++ b/siskinthread/command_line/_root.py
@@ -9,6 +9,7 @@
 from siskinthread.command_line._daemons import AgentCommand, EntryCommand
 from siskinthread.command_line._measure import MeasureCommand
 from siskinthread.command_line._settings import SettingsCommand
+from siskinthread.command_line._status import StatusCommand
 
 # One line for each daemon and each group of subcommands; a new group is imported above
 # and added here.
@@ -19,6 +20,7 @@
     | ConfigCommand
     | MeasureCommand
     | SettingsCommand
+    | StatusCommand
 )  # fmt: skip
 
 
--- a/siskinthread/configuration/_peers.py
+++ b/siskinthread/configuration/_peers.py
@@ -116,7 +116,11 @@
     if fold is None:
         return ConfigurationStatus(NOTHING_APPLIED, "", None, None)
     return ConfigurationStatus(
-        fold.applied_offset, fold.chain, confirmed_age_ms, snapshot_offset
+        fold.applied_offset,
+        fold.chain,
+        confirmed_age_ms,
+        snapshot_offset,
+        fold.state.version,
     )
 
 
--- a/siskinthread/control/_listener.py
+++ b/siskinthread/control/_listener.py
@@ -1,5 +1,7 @@
 """What a link tells the part that passes the configuration on."""
 
+from siskinthread.errors import ProtocolError
+
 
 class LinkListener:
     """Hears of links and their messages; this one ignores all of it.
@@ -16,6 +18,10 @@
     def configuration_offset(self):
         """Return the last record that was folded, for heartbeats; None before one."""
 
+    async def answer(self, request):
+        """Return the `ConfigurationUpdate` for a `ConfigurationRequest`."""
+        raise ProtocolError("this process knows no configuration")
+
     async def link_up(self, link):
         """Take in that a link was authenticated; repeated for each connection."""
 
--- /dev/null
+++ b/siskinthread/control/tests/test_propagation.py
@@ -0,0 +1,262 @@
+"""The configuration reaches every process over the links."""
+
+import curio
+
+from siskinthread.configuration import chosen_readers
+from siskinthread.configuration.tests.fakes import body, host
+from siskinthread.configuration.tests.nodes import changed_log
+from siskinthread.control.tests.nodes import (
+    AgentNode,
+    all_at,
+    EntryNode,
+    NodeSettings,
+    running,
+    until,
+)
+
+
+def put_change(log, version):
+    log.put(body(f"change-{version}", version, [host("h9", v=f"new-{version}")]))
+
+
+def test_news_reach_a_process_that_cannot_reach_the_log():
+    """Symptom: a domain that is cut off from the log alone keeps its configuration.
+
+    Events: one agent reads the log; an entry and the agent behind it can't.  A change
+    is published while no question and no heartbeat is due.  Cause: nobody told the
+    peers that there is news.
+    """
+
+    async def run():
+        log = changed_log(2)
+        settings = NodeSettings()
+        reader, far = AgentNode("a1", log, settings), AgentNode("a2", log, settings)
+        middle = EntryNode("e1", log, settings)
+        middle.log.down = far.log.down = True
+        middle.link_to(reader, far)
+        async with running(reader, middle, far):
+            await all_at(1, reader, middle, far)
+            put_change(log, 1)
+            await all_at(2, reader, middle, far)
+        assert far.log.reads == middle.log.reads == 0
+
+    curio.run(run)
+
+
+def test_many_records_arrive_without_a_pause_between_answers():
+    """Symptom: a process that was away for long catches up one answer every 4 s.
+
+    Cause: an answer holds a bounded number of bytes, and the rest waited for the next
+    regular question.
+    """
+
+    async def run():
+        log = changed_log(1)
+        settings = NodeSettings(record_limit_bytes=4096)
+        reader, other = AgentNode("a1", log, settings), EntryNode("e1", log, settings)
+        other.log.down = True
+        other.link_to(reader)
+        async with running(reader, other):
+            await all_at(0, reader, other)
+            labels = {"v": "x" * 60}
+            for version in range(40):
+                objects = [host(f"h{n}", **labels) for n in range(10)]
+                log.put(body(f"r{version + 1}", version, objects))
+            await all_at(40, reader, other)
+
+    curio.run(run)
+
+
+def test_process_that_starts_in_an_outage_starts_from_its_peers():
+    """Symptom: replaced hosts stay unready for as long as the log is down.
+
+    Events: the log goes down; an entry is replaced and its links come up.
+    """
+
+    async def run():
+        log = changed_log(3)
+        settings = NodeSettings()
+        agent, started = AgentNode("a1", log, settings), EntryNode("e1", log, settings)
+        async with running(agent):
+            await all_at(2, agent)
+            log.down = True
+            started.link_to(agent)
+            async with running(started):
+                await all_at(2, started)
+        assert started.versions == [2]
+
+    curio.run(run)
+
+
+def test_halves_of_a_partition_keep_their_state_and_catch_up_after_it():
+    """Symptom: after a partition heals, hosts go back to an older configuration.
+
+    Events: two domains lose each other and one of them the log; changes are published
+    meanwhile; the links come back.
+    """
+
+    async def run():
+        log = changed_log(2)
+        settings = NodeSettings(heartbeat_interval_s=0.05)
+        near = AgentNode("a1", log, settings), EntryNode("e1", log, settings)
+        far = AgentNode("a2", log, settings), EntryNode("e2", log, settings)
+        nodes = near + far
+        for node in far:
+            node.log.down = True
+
+        def link(healed):
+            near[1].link_to(near[0], *far[:healed])
+            far[1].link_to(far[0], *near[:healed])
+
+        link(healed=1)
+        async with running(*nodes):
+            await all_at(1, *nodes)
+            link(healed=0)
+            await until(lambda: all(node.links == 1 for node in nodes))
+            for version in (1, 2, 3):
+                put_change(log, version)
+            await all_at(4, *near)
+            assert [node.version for node in far] == [1, 1]
+            link(healed=1)
+            await all_at(4, *nodes)
+        for node in nodes:
+            assert node.versions == sorted(set(node.versions))
+
+    curio.run(run)
+
+
+def test_peer_of_another_history_is_not_taken():
+    """Symptom: two states under one version, or a question at every heartbeat.
+
+    Events: the log lost records and was written on; a process that starts with the new
+    history is linked to one that holds the old one and is further.
+    """
+
+    async def run():
+        old_log, new_log = changed_log(4), changed_log(2)
+        new_log.put(body("other", 1, [host("x")]))
+        settings = NodeSettings(
+            heartbeat_interval_s=0.02, retry_wait_first_s=0.05, retry_wait_limit_s=0.05
+        )
+        old = AgentNode("a1", old_log, settings)
+        new = EntryNode("e1", new_log, settings)
+        async with running(old, new):
+            await all_at(3, old)
+            await all_at(2, new)
+            old.log.down = new.log.down = True
+            new.link_to(old)
+            await until(lambda: new.count("control_questions", result="answered") > 2)
+            peer = next(iter(new.control._peers.links.values()))
+            assert peer.fruitless_offset == peer.offset == 3
+        assert (old.versions[-1], new.versions[-1]) == (3, 2)
+        assert "x" in new.view.state.hosts
+        troubles = "configuration_log_troubles"
+        assert new.count(troubles, condition="peer_diverged") > 0
+
+    curio.run(run)
+
+
+def test_diverged_peer_is_not_asked_at_each_heartbeat():
+    """Symptom: a peer that stays ahead for good is asked once a second by everybody.
+
+    Events: a process that relies on peers hears heartbeats of one of another history.
+    """
+
+    async def run():
+        old_log, new_log = changed_log(4), changed_log(2)
+        new_log.put(body("other", 1, [host("x")]))
+        settings = NodeSettings(heartbeat_interval_s=0.01, readers_per_domain=1)
+        old = AgentNode("a1", old_log, settings)
+        new, reader = (
+            EntryNode("e1", new_log, settings),
+            EntryNode("r", new_log, settings),
+        )
+        async with running(old, new):
+            await all_at(2, new)
+            new.list_hosts(hosts_with_reader(new, reader))
+            await until(lambda: not new.control._peers.reads_log())
+            new.link_to(old)
+            await until(lambda: new.links == 1)
+            peer = next(iter(new.control._peers.links.values()))
+            await until(lambda: peer.fruitless_offset == 3)
+            asked = new.count("control_questions", result="answered")
+            heard = new.agent_links.status("a1").load_received_at_s
+            await until(
+                lambda: new.agent_links.status("a1").load_received_at_s > heard + 0.1
+            )
+            assert new.count("control_questions", result="answered") == asked
+
+    curio.run(run)
+
+
+def hosts_with_reader(other, reader):
+    """Return both nodes, renamed until the second one is the reader."""
+    number = 0
+    while chosen_readers([other.name, reader.name], 1) != [reader.name]:
+        number += 1
+        reader.name = f"r{number}"
+    return [other, reader]
+
+
+def test_another_process_reads_the_log_when_the_reader_is_gone():
+    """Symptom: after the loss of its readers a domain learns of nothing any more.
+
+    Events: the one reader of a domain dies; the host list drops it; a change is
+    published.  Cause: the readers were chosen once.
+    """
+
+    async def run():
+        log = changed_log(2)
+        settings = NodeSettings(readers_per_domain=1, peer_interval_s=0.05)
+        agents = [AgentNode(f"a{number}", log, settings) for number in range(2)]
+        entries = [EntryNode(f"e{number}", log, settings) for number in range(2)]
+        nodes = agents + entries
+        for node in nodes:
+            node.list_hosts(nodes)
+        reader = next(node for node in nodes if node.control._peers.reads_log())
+        for entry in entries:
+            entry.link_to(*agents)
+        async with running(*nodes):
+            await all_at(1, *nodes)
+            others = [node for node in nodes if node is not reader]
+            reads = [node.log.reads for node in others]
+            put_change(log, 1)
+            await all_at(2, *nodes)
+            assert [node.log.reads for node in others] == reads
+            await reader.stop()
+            for node in others:
+                node.list_hosts(others)
+            put_change(log, 2)
+            await all_at(3, *others)
+            readers = [node for node in others if node.control._peers.reads_log()]
+            assert len(readers) == 1
+
+    curio.run(run)
+
+
+def test_reader_that_is_alive_by_the_list_only_is_made_up_for():
+    """Symptom: a domain waits for its frozen reader until the host list drops it.
+
+    Events: the readers of a domain hang; nobody confirms the others' state any more.
+    """
+
+    async def run():
+        log = changed_log(2)
+        settings = NodeSettings(
+            readers_per_domain=1, peer_interval_s=0.02, peer_confirm_limit_s=0.1
+        )
+        agents = [AgentNode(f"a{number}", log, settings) for number in range(2)]
+        entry = EntryNode("e1", log, settings)
+        nodes = [*agents, entry]
+        for node in nodes:
+            node.list_hosts(nodes)
+        reader = next(node for node in nodes if node.control._peers.reads_log())
+        others = [node for node in nodes if node is not reader]
+        entry.link_to(*agents)
+        async with running(*nodes):
+            await all_at(1, *nodes)
+            await reader.tasks[-1].cancel()
+            put_change(log, 1)
+            await all_at(2, *others)
+
+    curio.run(run)
--- /dev/null
+++ b/siskinthread/measurement/_control_figures.py
@@ -0,0 +1,137 @@
+"""Figures of the measurement of control, and straight lines through them."""
+
+import numpy as np
+
+TARGET_SIZE = 1010
+CHANGES_PER_S = 870 / 86_400
+BYTES_PER_MB = 1e6
+FIRST_SIZE_OF_FULL_LINKS = 100
+"""Nodes from which on each entry has all the links that its subset allows."""
+
+LIMITS = {
+    "in_force_max_s": 12.0,
+    "bytes_per_s": 3000.0,
+    "core_share": 0.012,
+    "memory_mb": 128.0,
+}
+
+
+def figures_of(sizes):
+    """Return the plain dict of all sizes and the estimate.
+
+    Parameters
+    ----------
+    sizes : list of SizeFigures
+        In rising order.
+    """
+    measured = [_size_dict(figures) for figures in sizes]
+    result = {"sizes": measured, "limits": LIMITS}
+    if len(measured) > 1:
+        result["estimate"] = _estimate(measured)
+    return result
+
+
+def _size_dict(figures):
+    delays_s = np.array(figures.delays_s)
+    return {
+        "size": figures.size,
+        "changes": len(delays_s),
+        "in_force_p50_s": _rounded(np.percentile(delays_s, 50)),
+        "in_force_p99_s": _rounded(np.percentile(delays_s, 99)),
+        "in_force_max_s": _rounded(delays_s.max()),
+        "roles": {
+            role: _role_dict(
+                [item for item in figures.workers if item[0].role == role],
+                len(delays_s),
+            )
+            for role in ("entry", "agent")
+        },
+    }
+
+
+def _role_dict(workers, changes):
+    nodes = sum(len(worker.hosts) for worker, *_ in workers)
+    rest_s = _mean([_seconds(before, rested) for _, _, before, rested, _ in workers])
+    change_s = _mean([_seconds(rested, done) for _, _, _, rested, done in workers])
+    core_share = _cpu_s(workers, 2, 3) / rest_s / nodes
+    rates = _byte_rates(workers, 2, 3, rest_s, nodes)
+    extra_cpu_s = _cpu_s(workers, 3, 4) / nodes - core_share * change_s
+    extra_bytes = sum(_byte_rates(workers, 3, 4, 1.0, nodes).values())
+    extra_bytes -= sum(rates.values()) * change_s
+    cpu_s_per_change = max(0.0, extra_cpu_s / changes)
+    bytes_per_change = max(0.0, extra_bytes / changes)
+    return {
+        "nodes": nodes,
+        "links": round(sum(item[3].report["links"] for item in workers) / nodes, 1),
+        "rest_bytes_per_s": {name: round(rate, 1) for name, rate in rates.items()},
+        "bytes_per_change": round(bytes_per_change),
+        "bytes_per_s": round(sum(rates.values()) + bytes_per_change * CHANGES_PER_S, 1),
+        "rest_core_share": _rounded(core_share),
+        "cpu_ms_per_change": _rounded(cpu_s_per_change * 1000),
+        "core_share": _rounded(core_share + cpu_s_per_change * CHANGES_PER_S),
+        "memory_mb": _rounded(_memory_mb(workers)),
+    }
+
+
+def _memory_mb(workers):
+    """Return what a process with one node would hold."""
+    process_mb = _mean([item[1].usage.resident_bytes for item in workers])
+    grown = sum(
+        item[4].usage.resident_bytes - item[1].usage.resident_bytes for item in workers
+    )
+    nodes = sum(len(worker.hosts) for worker, *_ in workers)
+    return (process_mb + grown / nodes) / BYTES_PER_MB
+
+
+def _cpu_s(workers, start, stop):
+    return sum(item[stop].usage.cpu_s - item[start].usage.cpu_s for item in workers)
+
+
+def _byte_rates(workers, start, stop, time_s, nodes):
+    totals = {"peers": 0, "log": 0, "host_list": 0}
+    for item in workers:
+        for name in totals:
+            totals[name] += item[stop].report["bytes"].get(name, 0)
+            totals[name] -= item[start].report["bytes"].get(name, 0)
+    return {name: total / time_s / nodes for name, total in totals.items()}
+
+
+def _seconds(before, after):
+    return after.usage.taken_at_s - before.usage.taken_at_s
+
+
+def _estimate(measured):
+    full = [item for item in measured if item["size"] >= FIRST_SIZE_OF_FULL_LINKS]
+    full = full if len(full) > 1 else measured
+    sizes = [item["size"] for item in measured]
+    estimate = {"size": TARGET_SIZE}
+    for name in ("in_force_p99_s", "in_force_max_s"):
+        estimate[name] = _line(sizes, [item[name] for item in measured])
+    for role in ("entry", "agent"):
+        estimate[role] = _role_estimate([item["roles"][role] for item in full], full)
+    return estimate
+
+
+def _role_estimate(roles, measured):
+    sizes = [item["size"] for item in measured]
+    names = ("bytes_per_s", "core_share", "memory_mb")
+    estimate = {name: _line(sizes, [role[name] for role in roles]) for name in names}
+    rates = [role["rest_bytes_per_s"] for role in roles]
+    estimate["rest_bytes_per_s"] = {
+        name: _line(sizes, [rate[name] for rate in rates]) for name in rates[0]
+    }
+    return estimate
+
+
+def _line(sizes, values):
+    """Return the value at the size to design for on a straight line."""
+    slope, base = np.polyfit(sizes, values, 1)
+    return _rounded(base + slope * TARGET_SIZE)
+
+
+def _mean(values):
+    return sum(values) / len(values)
+
+
+def _rounded(value):
+    return round(float(value), 5)
--- a/siskinthread/wire/_generated/frames/ttypes.py
+++ b/siskinthread/wire/_generated/frames/ttypes.py
@@ -1565,6 +1565,7 @@
      - chain: Digest over all records up to it; differs if the histories do.
      - confirmed_age_ms: Time since the log was last known to hold nothing newer; absent if never.
      - snapshot_offset: Offset that the newest complete snapshot in the log stands for, if one is known.
+     - version: Version in force at applied_offset; -1 before the first.
 
     """
 
@@ -1573,14 +1574,16 @@
         'chain',
         'confirmed_age_ms',
         'snapshot_offset',
+        'version',
     )
 
 
-    def __init__(self, applied_offset=None, chain=None, confirmed_age_ms=None, snapshot_offset=None,):
+    def __init__(self, applied_offset=None, chain=None, confirmed_age_ms=None, snapshot_offset=None, version=None,):
         self.applied_offset = applied_offset
         self.chain = chain
         self.confirmed_age_ms = confirmed_age_ms
         self.snapshot_offset = snapshot_offset
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1611,6 +1614,11 @@
                     self.snapshot_offset = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1637,6 +1645,10 @@
             oprot.writeFieldBegin('snapshot_offset', TType.I64, 4)
             oprot.writeI64(self.snapshot_offset)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2959,6 +2971,7 @@
     (2, TType.STRING, 'chain', 'UTF8', None, ),  # 2
     (3, TType.I64, 'confirmed_age_ms', None, None, ),  # 3
     (4, TType.I64, 'snapshot_offset', None, None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
 )
 all_structs.append(ConfigurationRecord)
 ConfigurationRecord.thrift_spec = (
--- a/thrift/frames.thrift
+++ b/thrift/frames.thrift
@@ -140,6 +140,8 @@
   3: optional i64 confirmed_age_ms,
   /** Offset that the newest complete snapshot in the log stands for, if one is known. */
   4: optional i64 snapshot_offset,
+  /** Version in force at applied_offset; -1 before the first. */
+  5: optional i64 version,
 }
 
 struct ConfigurationRecord {
