--- a/siskinthread/command_line/_root.py
+++ b/siskinthread/command_line/_root.py
@@ -7,6 +7,7 @@
 from siskinthread.command_line._audit import AuditCommand
 from siskinthread.command_line._config import ConfigCommand
 from siskinthread.command_line._daemons import AgentCommand, EntryCommand
+from siskinthread.command_line._experts import ExpertsCommand
 from siskinthread.command_line._measure import MeasureCommand
 from siskinthread.command_line._settings import SettingsCommand
 from siskinthread.command_line._status import StatusCommand
@@ -18,6 +19,7 @@
     | AgentCommand
     | AuditCommand
     | ConfigCommand
+    | ExpertsCommand
     | MeasureCommand
     | SettingsCommand
     | StatusCommand
