Claim model groups on the log with fencing numbers

Cause: each group needs one controller; its number has to be above that of whoever was controller before, also when that one was paused, and a log that is down must not leave the group without controller. Ruled out: a lease (clocks; it lapses in an outage), agreement among the agents (a second coordination service), a rendezvous choice alone (two views are two owners). Change: claims on a stream of their own (ownership_stream). The first claim that names the claim in force is granted and its offset is the fencing number. Candidates wait their turn in rendezvous order with jitter and read before they claim; the same claim is appended again after a lost answer. Nobody claims on a shortened or rewritten log. confirm() reads before an owner acts; safety rests on the gates.

Conclusion: ready to be called by the agents; a heartbeat from owner to agents is needed.

--- a/siskinthread/ownership/tests/test_claimer.py
+++ b/siskinthread/ownership/tests/test_claimer.py
@@ -1,7 +1,14 @@
 """Claims through lost answers, outages, expiry and a log that lost records."""
 
 from siskinthread.ownership import Heartbeats, Liveness, OwnershipSettings
-from siskinthread.ownership._records import Claim, encode_claim, read_record
+from siskinthread.ownership._records import (
+    Claim,
+    encode_claim,
+    encode_snapshot,
+    Owner,
+    read_record,
+    Snapshot,
+)
 from siskinthread.ownership.tests.fakes import FakeLogs
 from siskinthread.ownership.tests.processes import (
     GROUP,
@@ -201,6 +208,38 @@
     assert owner.count("rewritten") > 0
 
 
+def test_older_claims_behind_a_gap_are_not_taken_over():
+    """Symptom: an owner's fencing number falls.
+
+    Events: the log is replaced by one that starts later, with a copy of older claims.
+    Cause: starting anew behind a gap without a look at what was known.
+    """
+    logs, processes, suspects, owner = started()
+    suspects.hosts.add(owner.host)
+    run_for(processes, logs.clock, 200)
+    (known,) = owners_seen(processes)
+    stream = logs.streams["ownership"]
+    stream.records.clear()
+    stream.first_offset = 50
+    older = Snapshot(60, {GROUP: Owner("h9", "1", 0)})
+    for record_body in [b"{}"] * 11 + [encode_snapshot(older)]:
+        stream.put(record_body)
+    run_for(processes, logs.clock, 200)
+    assert owners_seen(processes) == {known}
+    assert all(process.confirm() is None for process in processes)
+
+
+def test_copy_that_differs_from_the_own_fold_is_reported():
+    """A wrong copy is counted, and changes no owner in a process that has read on."""
+    logs, processes, _, owner = started()
+    known = owner.view.owner(GROUP)
+    wrong = Snapshot(owner.claimer._reader.fold.applied_offset, {})
+    logs.put("ownership", encode_snapshot(wrong))
+    run_for(processes, logs.clock, 200)
+    assert owners_seen(processes) == {known}
+    assert all(process.count("diverged") == 1 for process in processes)
+
+
 class Membership:
     """Takes the place of `MembershipView`."""
 
