Show operators who controls each group and why its map changes

Cause: with the skew of a group high or the group standing still, nothing told an operator which agent controls it, what the last plan weighed, or that a change was left unfinished; that was only in the log of one agent out of many.

Change: frames ExpertsQuestion (18) and ExpertsStatus (19). A controller now keeps the map it saw, pending moves, the last result with its time, and why a round ended without a plan (Hindrance).

Ruled out: asking the ranks' engines for the map when no controller answers; the order of the questions at engines that ignore fencing numbers is the controller's matter. Showing the last state of an agent that lost the group: it would look present.

Tests, each failing with its mechanism taken out and passing with it: a controller that was overtaken (without the look at other agents' fencing numbers), pending moves (when dropped at once; when a recovery is not noted), the past of a host that lost the group (when told), a silent agent (without its deadline). Two claimants are in the golden report and over loopback.

Left: without a controller in force the map is not shown.

--- a/siskinthread/control/_operators.py
+++ b/siskinthread/control/_operators.py
@@ -12,7 +12,7 @@
 _LOG = part_logger("control")
 
 
-async def answer_operator(channel, frames, control):
+async def answer_operator(channel, frames, control, answer_experts=None):
     """Answer an operator's questions until the connection ends.
 
     Parameters
@@ -23,6 +23,8 @@
         Frames that arrived right behind the handshake.
     control : LinkListener
         Of this process.
+    answer_experts : callable or None
+        Returns the `ExpertsStatus` for an `ExpertsQuestion`; None at an entry.
 
     Raises
     ------
@@ -38,15 +40,19 @@
         async with curio.timeout_after(LONGEST_CONNECTION_S):
             while True:
                 for frame in frames:
-                    await _answer(frame, channel, control)
+                    await _answer(frame, channel, control, answer_experts)
                 frames = await channel.receive()
     except curio.TaskTimeout as error:
         raise ConnectionLostError("an operator's connection lasted too long") from error
 
 
-async def _answer(frame, channel, control):
+async def _answer(frame, channel, control, answer_experts):
+    if frame.experts_question is not None and answer_experts is not None:
+        status = answer_experts(frame.experts_question)
+        await channel.send(Frame(experts_status=status))
+        return
     if frame.configuration_request is None:
-        raise ProtocolError("an operator may only ask for the configuration")
+        raise ProtocolError("an operator asks for what this process does not know")
     update = await control.answer(frame.configuration_request)
     await channel.send(Frame(configuration_update=update))
 
--- a/siskinthread/control/_survey.py
+++ b/siskinthread/control/_survey.py
@@ -1,4 +1,6 @@
-"""Asking all hosts which configuration they hold."""
+"""Asking hosts, as an operator, for what they hold."""
+
+import functools
 
 import curio
 
@@ -40,14 +42,14 @@
     )
 
 
-class HostView:
-    """What one host holds.
+class HostAnswer:
+    """What one host answered.
 
     Attributes
     ----------
     entry : siskinthread.platform.HostEntry
         Its line of the host list.
-    status : ConfigurationStatus or None
+    status : ConfigurationStatus, ExpertsStatus or None
         Its answer.
     problem : str or None
         Why there is none.
@@ -60,6 +62,12 @@
         self.status = status
         self.problem = problem
 
+
+class HostView(HostAnswer):
+    """Which configuration one host holds; ``status`` is a `ConfigurationStatus`."""
+
+    __slots__ = ()
+
     @property
     def version(self):
         """Version in force; None without one."""
@@ -82,6 +90,39 @@
     settings : StatusSettings
         Where to ask.
 
+    Raises
+    ------
+    PlatformUnavailableError
+        If the host list gave no answer.
+    """
+    # So far ahead that the answer holds no records.
+    beyond = ConfigurationStatus(BEYOND_ALL_RECORDS, "")
+    question = Frame(configuration_request=ConfigurationRequest(beyond))
+    return await ask_hosts(settings, question, _configuration_status, HostView)
+
+
+async def ask_hosts(settings, question, take, answer_class=HostAnswer, role=None):
+    """Ask hosts of the host list one question.
+
+    Parameters
+    ----------
+    settings : StatusSettings
+        Where to ask.
+    question : Frame
+        Sent to each host.
+    take : callable
+        Returns the answer that a `Frame` holds, None if it is another frame, or raises
+        `ProtocolError`.
+    answer_class : type
+        `HostAnswer` or a class under it.
+    role : str or None
+        Only hosts of this role are asked; None for all.
+
+    Returns
+    -------
+    list of HostAnswer
+        By host.
+
     Raises
     ------
     PlatformUnavailableError
@@ -94,23 +135,27 @@
         await client.close()
     places = curio.Semaphore(settings.parallel_questions)
     async with curio.TaskGroup() as group:
-        for entry in sorted(entries, key=lambda entry: entry.host):
-            await group.spawn(_view_of, entry, settings, places)
+        for entry in entries:
+            if role in (None, entry.role):
+                ask = functools.partial(_ask, entry, settings.peers, question, take)
+                await group.spawn(
+                    _answer_of, entry, ask, answer_class, settings, places
+                )
     return sorted(group.results, key=lambda view: view.entry.host)
 
 
-async def _view_of(entry, settings, places):
+async def _answer_of(entry, ask, answer_class, settings, places):
     async with places:
         try:
             async with curio.timeout_after(settings.answer_wait_s):
-                return HostView(entry, await _ask(entry, settings.peers))
+                return answer_class(entry, await ask())
         except curio.TaskTimeout:
-            return HostView(entry, problem="no answer in time")
+            return answer_class(entry, problem="no answer in time")
         except (ConnectionLostError, ProtocolError) as error:
-            return HostView(entry, problem=str(error))
+            return answer_class(entry, problem=str(error))
 
 
-async def _ask(entry, peers):
+async def _ask(entry, peers, question, take):
     channel = await open_channel(
         entry.address, entry.port, Frame, peers.frame_limit_bytes, peers.dial_wait_s
     )
@@ -119,19 +164,21 @@
         hello, frames = await shake_hands(channel, identity, peers, dialled=True)
         if hello.host != entry.host:
             raise ProtocolError(f"{hello.host} answered")
-        # So far ahead that the answer holds no records.
-        beyond = ConfigurationStatus(BEYOND_ALL_RECORDS, "")
-        await channel.send(Frame(configuration_request=ConfigurationRequest(beyond)))
+        await channel.send(question)
         while True:
             for frame in frames:
-                if frame.configuration_update is not None:
-                    return _checked(frame.configuration_update.status)
+                answer = take(frame)
+                if answer is not None:
+                    return answer
             frames = await channel.receive()
     finally:
         await channel.close()
 
 
-def _checked(status):
+def _configuration_status(frame):
+    if frame.configuration_update is None:
+        return None
+    status = frame.configuration_update.status
     if status is None or status.applied_offset is None:
         raise ProtocolError("the answer holds no status")
     return status
--- a/siskinthread/control/operators.py
+++ b/siskinthread/control/operators.py
@@ -1,11 +1,16 @@
-"""What ``siskinthread status`` builds on; daemons don't import it."""
+"""What operators' commands build on; daemons don't import it."""
 
 import curio
 
 from siskinthread.control._status_report import StatusReport
-from siskinthread.control._survey import StatusSettings, survey_hosts
+from siskinthread.control._survey import (
+    ask_hosts,
+    HostAnswer,
+    StatusSettings,
+    survey_hosts,
+)
 
-__all__ = ["StatusReport", "StatusSettings", "survey"]
+__all__ = ["HostAnswer", "StatusReport", "StatusSettings", "ask_hosts", "survey"]
 
 
 def survey(settings):
--- a/siskinthread/daemons/_agent.py
+++ b/siskinthread/daemons/_agent.py
@@ -6,6 +6,7 @@
 
 from siskinthread.configuration import ConfigurationView
 from siskinthread.control import ControlPlane
+from siskinthread.daemons._experts_status import no_group_status
 from siskinthread.daemons._group_duties import GroupDuties
 from siskinthread.daemons._supervision import run_until_stopped
 from siskinthread.execution import AgentServer, StatusServer
@@ -91,6 +92,7 @@
             self._metrics,
             self._control,
         )
+        self._server.answer_experts = lambda question: no_group_status(identity.host)
         self._duties = None
         if settings.rank.group:
             self._duties = GroupDuties(
@@ -102,6 +104,7 @@
                 clock,
                 self._metrics,
             )
+            self._server.answer_experts = self._duties.answer_experts
             self._server.rank_service = self._duties.service
 
     async def run(self):
--- a/siskinthread/daemons/_group_duties.py
+++ b/siskinthread/daemons/_group_duties.py
@@ -6,6 +6,7 @@
 import curio
 
 from siskinthread.audit import map_entry, Pace, Recorder
+from siskinthread.daemons._experts_status import group_status, no_group_status
 from siskinthread.experts import Controller, Objective, RankService, RemoteRanks
 from siskinthread.ownership import Claimer, Heartbeats, Liveness, OwnershipView
 from siskinthread.settings import Address
@@ -107,6 +108,14 @@
             "map changes": self._recorder.run,
         }
 
+    def answer_experts(self, question):
+        """Return the `ExpertsStatus` for an operator's `ExpertsQuestion`."""
+        group = self._settings.rank.group
+        if question.group not in ("", group):
+            return no_group_status(self._identity.host)
+        owner = self._owners.owner(group)
+        return group_status(group, self._identity, owner, self._controller)
+
     def _hosts(self):
         """Return the hosts of the group's ranks, sorted."""
         state = self._view.state
--- a/siskinthread/execution/_server.py
+++ b/siskinthread/execution/_server.py
@@ -73,6 +73,8 @@
 
     Attributes
     ----------
+    answer_experts : callable or None
+        Returns the `ExpertsStatus` for an operator's `ExpertsQuestion`.
     handler : AttemptHandler
         Handles the frames of links.
     links : dict of str to Link
@@ -89,6 +91,7 @@
         "_load",
         "_metrics",
         "_runner",
+        "answer_experts",
         "clock",
         "control",
         "handler",
@@ -128,6 +131,7 @@
         self._listed_leaving = False
         self._connections = set()
         self.links = {}
+        self.answer_experts = None
         self.rank_service = None
         self._metrics.watch(parts.ledger, turns, self.links)
 
@@ -192,7 +196,7 @@
             channel, self._identity, self.peer_settings, dialled=False
         )
         if hello.role == OPERATOR_ROLE:
-            await answer_operator(channel, frames, self.control)
+            await answer_operator(channel, frames, self.control, self.answer_experts)
         if hello.role == AGENT_ROLE and self.rank_service is not None:
             await self.rank_service.serve(channel, frames)
         if hello.role != ENTRY_ROLE:
--- a/siskinthread/experts/__init__.py
+++ b/siskinthread/experts/__init__.py
@@ -1,9 +1,10 @@
 """Expert maps: model of the work, planner and change protocol."""
 
-from siskinthread.experts._controller import Controller
+from siskinthread.experts._controller import Controller, Hindrance
 from siskinthread.experts._estimates import Estimates
 from siskinthread.experts._expert_map import ExpertMap
 from siskinthread.experts._map_change import ChangeResult, MapChange
+from siskinthread.experts._order_frames import encode_map
 from siskinthread.experts._orders import (
     Done,
     Hold,
@@ -32,6 +33,7 @@
     "Done",
     "Estimates",
     "ExpertMap",
+    "Hindrance",
     "Hold",
     "MapChange",
     "Objective",
@@ -55,5 +57,6 @@
     "Step",
     "Switch",
     "Verdict",
+    "encode_map",
     "recompute_map",
 ]
--- a/siskinthread/experts/_controller.py
+++ b/siskinthread/experts/_controller.py
@@ -1,5 +1,7 @@
 """The controller of one group: watches the ranks, plans, changes the map."""
 
+import enum
+
 import curio
 import numpy as np
 
@@ -16,6 +18,15 @@
 _logger = part_logger("experts")
 
 
+class Hindrance(enum.StrEnum):
+    """Why a round ended before it had a plan."""
+
+    MAPS_DIFFER = "maps_differ"
+    RANK_SILENT = "rank_silent"
+    RANKS_MISSING = "ranks_missing"
+    RECOVERY_UNFINISHED = "recovery_unfinished"
+
+
 class Controller:
     """Rebalances one group while this process owns it.
 
@@ -42,8 +53,18 @@
 
     Attributes
     ----------
+    changed_at_ms : int or None
+        Wall clock of the end of the last change.
+    expert_map : ExpertMap or None
+        The map that the ranks had at the last look.
+    hindrance : Hindrance or None
+        Why the last round had no plan; None if it had one.
     last_plan : Plan or None
-        The last plan, for the operators' view.
+        The last plan under the present claim, for the operators' view.
+    pending_moves : int
+        Experts to load of a planned change that is not finished.
+    result : ChangeResult or None
+        Result of the last change, or of the recovery of one that was unfinished.
     skew : float or None
         Step-time skew of the last interval.
     """
@@ -62,7 +83,12 @@
         "_record",
         "_recovered",
         "_settings",
+        "changed_at_ms",
+        "expert_map",
+        "hindrance",
         "last_plan",
+        "pending_moves",
+        "result",
         "skew",
     )
 
@@ -82,7 +108,12 @@
         self._fencing = None
         self._orders = None
         self._recovered = False
+        self.changed_at_ms = None
+        self.expert_map = None
+        self.hindrance = None
         self.last_plan = None
+        self.pending_moves = 0
+        self.result = None
         self.skew = None
 
     async def run(self):
@@ -110,12 +141,16 @@
             # next, else the gates would refuse them as old.
             self._orders = MapChange(self._ranks, fencing)
             self._recovered = False
+            self.last_plan = None
+            self.pending_moves = 0
         reports = await self._ranks.reports()
         if not self._complete(reports):
+            self.hindrance = Hindrance.RANKS_MISSING
             return None
         if not self._recovered:
             result = await self._recover(reports)
             if result is not ChangeResult.CHANGED:
+                self.hindrance = Hindrance.RECOVERY_UNFINISHED
                 return result
             self._recovered = True
         return await self._rebalance(reports)
@@ -149,6 +184,8 @@
             if report is not None
         }
         result = await self._orders.recover(maps.get)
+        if self.result is ChangeResult.UNFINISHED:
+            self._note(result)
         _logger.info("Recovery of group %s: %s.", self._group, result)
         return result
 
@@ -156,17 +193,22 @@
         known = [reports[name] for name in self._ranks.names()]
         if any(report is None for report in known):
             _logger.info("Group %s is not planned: a rank is silent.", self._group)
+            self.hindrance = Hindrance.RANK_SILENT
             return None
         versions = {report.expert_map.version for report in known}
         if len(versions) != 1:
             self._recovered = False
+            self.hindrance = Hindrance.MAPS_DIFFER
             return None
         expert_map = known[0].expert_map
+        self.expert_map = expert_map
         self._observe(expert_map, known)
         plan = await self._plan(expert_map)
         self.last_plan = plan
+        self.hindrance = None
         if plan.verdict is not Verdict.MOVE:
             return None
+        self.pending_moves = plan.moves
         return await self._change(expert_map, plan.expert_map)
 
     def _observe(self, expert_map, reports):
@@ -198,6 +240,15 @@
         new_map = ExpertMap(new_map.slots, new_map.expert_count, version)
         result = await self._orders.change(old_map.version, version, new_map)
         self._recovered = result is not ChangeResult.UNFINISHED
+        self._note(result)
+        if result is ChangeResult.CHANGED:
+            self.expert_map = new_map
         self._record(self._fencing, old_map.version, version, result)
         _logger.info("Map of group %s to version %d: %s.", self._group, version, result)
         return result
+
+    def _note(self, result):
+        self.result = result
+        self.changed_at_ms = self._clock.unix_ms()
+        if result is not ChangeResult.UNFINISHED:
+            self.pending_moves = 0
--- a/siskinthread/wire/_generated/frames/ttypes.py
+++ b/siskinthread/wire/_generated/frames/ttypes.py
@@ -2576,6 +2576,289 @@
         return not (self == other)
 
 
+class ExpertsQuestion(object):
+    """
+    Attributes:
+     - group: Empty for all groups of the agent.
+
+    """
+
+    __slots__ = (
+        'group',
+    )
+
+
+    def __init__(self, group=None,):
+        self.group = group
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExpertsQuestion')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ExpertsStatus(object):
+    """
+    What an agent knows of the group of its rank.
+
+    Attributes:
+     - group: Empty if the agent has no rank, or none of the group that was asked about.
+     - host
+     - controls: Whether this host takes itself for the controller; the rest is absent if not.
+     - fencing: Of the newest claim that this host knows, its own or not.
+     - version: The map that the ranks had at the last look, and its version.
+     - expert_slots
+     - skew: Step-time skew of the last interval.
+     - skew_before: Predicted by the last plan.
+     - skew_after
+     - verdict: Why the last round changed the map or left it.
+     - pending_moves: Experts to load of a planned change that is not finished.
+     - changed_at_ms: Wall clock of the end of the last change, Unix milliseconds.
+     - result: "changed", "unchanged", "superseded" or "unfinished".
+
+    """
+
+    __slots__ = (
+        'group',
+        'host',
+        'controls',
+        'fencing',
+        'version',
+        'expert_slots',
+        'skew',
+        'skew_before',
+        'skew_after',
+        'verdict',
+        'pending_moves',
+        'changed_at_ms',
+        'result',
+    )
+
+
+    def __init__(self, group=None, host=None, controls=None, fencing=None, version=None, expert_slots=None, skew=None, skew_before=None, skew_after=None, verdict=None, pending_moves=None, changed_at_ms=None, result=None,):
+        self.group = group
+        self.host = host
+        self.controls = controls
+        self.fencing = fencing
+        self.version = version
+        self.expert_slots = expert_slots
+        self.skew = skew
+        self.skew_before = skew_before
+        self.skew_after = skew_after
+        self.verdict = verdict
+        self.pending_moves = pending_moves
+        self.changed_at_ms = changed_at_ms
+        self.result = result
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.controls = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.fencing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.expert_slots = ExpertSlots()
+                    self.expert_slots.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.skew = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.skew_before = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.skew_after = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.verdict = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.pending_moves = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.changed_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.result = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExpertsStatus')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.controls is not None:
+            oprot.writeFieldBegin('controls', TType.BOOL, 3)
+            oprot.writeBool(self.controls)
+            oprot.writeFieldEnd()
+        if self.fencing is not None:
+            oprot.writeFieldBegin('fencing', TType.I64, 4)
+            oprot.writeI64(self.fencing)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 5)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.expert_slots is not None:
+            oprot.writeFieldBegin('expert_slots', TType.STRUCT, 6)
+            self.expert_slots.write(oprot)
+            oprot.writeFieldEnd()
+        if self.skew is not None:
+            oprot.writeFieldBegin('skew', TType.DOUBLE, 7)
+            oprot.writeDouble(self.skew)
+            oprot.writeFieldEnd()
+        if self.skew_before is not None:
+            oprot.writeFieldBegin('skew_before', TType.DOUBLE, 8)
+            oprot.writeDouble(self.skew_before)
+            oprot.writeFieldEnd()
+        if self.skew_after is not None:
+            oprot.writeFieldBegin('skew_after', TType.DOUBLE, 9)
+            oprot.writeDouble(self.skew_after)
+            oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.STRING, 10)
+            oprot.writeString(self.verdict.encode('utf-8') if sys.version_info[0] == 2 else self.verdict)
+            oprot.writeFieldEnd()
+        if self.pending_moves is not None:
+            oprot.writeFieldBegin('pending_moves', TType.I64, 11)
+            oprot.writeI64(self.pending_moves)
+            oprot.writeFieldEnd()
+        if self.changed_at_ms is not None:
+            oprot.writeFieldBegin('changed_at_ms', TType.I64, 12)
+            oprot.writeI64(self.changed_at_ms)
+            oprot.writeFieldEnd()
+        if self.result is not None:
+            oprot.writeFieldBegin('result', TType.STRING, 13)
+            oprot.writeString(self.result.encode('utf-8') if sys.version_info[0] == 2 else self.result)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2596,6 +2879,8 @@
      - rank_reply
      - rank_statistics_request
      - rank_statistics
+     - experts_question
+     - experts_status
 
     """
 
@@ -2617,10 +2902,12 @@
         'rank_reply',
         'rank_statistics_request',
         'rank_statistics',
+        'experts_question',
+        'experts_status',
     )
 
 
-    def __init__(self, hello=None, proof=None, heartbeat=None, start=None, resume=None, acknowledge=None, cancel=None, head=None, part=None, end=None, leaving=None, configuration_request=None, configuration_update=None, rank_order=None, rank_reply=None, rank_statistics_request=None, rank_statistics=None,):
+    def __init__(self, hello=None, proof=None, heartbeat=None, start=None, resume=None, acknowledge=None, cancel=None, head=None, part=None, end=None, leaving=None, configuration_request=None, configuration_update=None, rank_order=None, rank_reply=None, rank_statistics_request=None, rank_statistics=None, experts_question=None, experts_status=None,):
         self.hello = hello
         self.proof = proof
         self.heartbeat = heartbeat
@@ -2638,6 +2925,8 @@
         self.rank_reply = rank_reply
         self.rank_statistics_request = rank_statistics_request
         self.rank_statistics = rank_statistics
+        self.experts_question = experts_question
+        self.experts_status = experts_status
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2750,6 +3039,18 @@
                     self.rank_statistics.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.experts_question = ExpertsQuestion()
+                    self.experts_question.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.experts_status = ExpertsStatus()
+                    self.experts_status.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2828,6 +3129,14 @@
             oprot.writeFieldBegin('rank_statistics', TType.STRUCT, 17)
             self.rank_statistics.write(oprot)
             oprot.writeFieldEnd()
+        if self.experts_question is not None:
+            oprot.writeFieldBegin('experts_question', TType.STRUCT, 18)
+            self.experts_question.write(oprot)
+            oprot.writeFieldEnd()
+        if self.experts_status is not None:
+            oprot.writeFieldBegin('experts_status', TType.STRUCT, 19)
+            self.experts_status.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3039,6 +3348,28 @@
     (4, TType.STRUCT, 'expert_slots', [ExpertSlots, None], None, ),  # 4
     (5, TType.I64, 'version', None, None, ),  # 5
 )
+all_structs.append(ExpertsQuestion)
+ExpertsQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+)
+all_structs.append(ExpertsStatus)
+ExpertsStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'controls', None, None, ),  # 3
+    (4, TType.I64, 'fencing', None, None, ),  # 4
+    (5, TType.I64, 'version', None, None, ),  # 5
+    (6, TType.STRUCT, 'expert_slots', [ExpertSlots, None], None, ),  # 6
+    (7, TType.DOUBLE, 'skew', None, None, ),  # 7
+    (8, TType.DOUBLE, 'skew_before', None, None, ),  # 8
+    (9, TType.DOUBLE, 'skew_after', None, None, ),  # 9
+    (10, TType.STRING, 'verdict', 'UTF8', None, ),  # 10
+    (11, TType.I64, 'pending_moves', None, None, ),  # 11
+    (12, TType.I64, 'changed_at_ms', None, None, ),  # 12
+    (13, TType.STRING, 'result', 'UTF8', None, ),  # 13
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3059,6 +3390,8 @@
     (15, TType.STRUCT, 'rank_reply', [RankReply, None], None, ),  # 15
     (16, TType.STRUCT, 'rank_statistics_request', [RankStatisticsRequest, None], None, ),  # 16
     (17, TType.STRUCT, 'rank_statistics', [RankStatistics, None], None, ),  # 17
+    (18, TType.STRUCT, 'experts_question', [ExpertsQuestion, None], None, ),  # 18
+    (19, TType.STRUCT, 'experts_status', [ExpertsStatus, None], None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/thrift/frames.thrift
+++ b/thrift/frames.thrift
@@ -227,6 +227,40 @@
   5: optional i64 version,
 }
 
+// Questions of operators about expert maps: docs/operators/experts.md.
+
+struct ExpertsQuestion {
+  /** Empty for all groups of the agent. */
+  1: string group,
+}
+
+/** What an agent knows of the group of its rank. */
+struct ExpertsStatus {
+  /** Empty if the agent has no rank, or none of the group that was asked about. */
+  1: string group,
+  2: string host,
+  /** Whether this host takes itself for the controller; the rest is absent if not. */
+  3: bool controls,
+  /** Of the newest claim that this host knows, its own or not. */
+  4: optional i64 fencing,
+  /** The map that the ranks had at the last look, and its version. */
+  5: optional i64 version,
+  6: optional ExpertSlots expert_slots,
+  /** Step-time skew of the last interval. */
+  7: optional double skew,
+  /** Predicted by the last plan. */
+  8: optional double skew_before,
+  9: optional double skew_after,
+  /** Why the last round changed the map or left it. */
+  10: optional string verdict,
+  /** Experts to load of a planned change that is not finished. */
+  11: optional i64 pending_moves,
+  /** Wall clock of the end of the last change, Unix milliseconds. */
+  12: optional i64 changed_at_ms,
+  /** "changed", "unchanged", "superseded" or "unfinished". */
+  13: optional string result,
+}
+
 union Frame {
   1: Hello hello,
   2: Proof proof,
@@ -245,4 +279,6 @@
   15: RankReply rank_reply,
   16: RankStatisticsRequest rank_statistics_request,
   17: RankStatistics rank_statistics,
+  18: ExpertsQuestion experts_question,
+  19: ExpertsStatus experts_status,
 }
