Keep links to every service's targets among many agents

Cause: beyond 48 agents an entry linked to a subset of all of them, which can miss a service with few hosts; its callers then get no_target at some entries only. Ruled out: a larger subset, whose heartbeats cost more for control than there is. Change: once a configuration is known, the links are chosen service by service, and again at each change of configuration.

--- a/siskinthread/daemons/_entry.py
+++ b/siskinthread/daemons/_entry.py
@@ -15,7 +15,7 @@
 from siskinthread.membership import follow_host_list, MembershipView
 from siskinthread.observability import Metrics, part_logger, set_up_logging
 from siskinthread.platform import HostListClient, LogClient
-from siskinthread.routing import Router, subset_of
+from siskinthread.routing import hosts_to_link, Router, subset_of
 from siskinthread.settings import Address
 from siskinthread.timing import Deadline, SYSTEM_CLOCK
 from siskinthread.wire import Identity
@@ -91,6 +91,7 @@
         self._home_links = HomeLinks(settings.home_links_limit)
         self._membership.is_connected = self._is_connected
         self._membership.listen(self._reconcile_links)
+        self._view.listen(self._follow_configuration)
         self._server = self._build_server(clock)
 
     async def run(self):
@@ -179,23 +180,44 @@
         if host in self._membership.agents() and self._home_links.want(host):
             self._reconcile_links(self._membership)
 
+    def _follow_configuration(self, state):
+        self._reconcile_links(self._membership)
+
     def _reconcile_links(self, membership):
         agents = membership.agents()
-        subset = subset_of(
-            self._settings.host,
-            agents,
-            membership.failure_domain,
-            self._settings.failure_domain,
-            self._settings.routing.subset_size,
-        )
         homes = self._home_links.known_among(agents)
         self._links.reconcile(
             {
                 host: Address(agents[host].address, agents[host].port)
-                for host in {*subset, *homes}
+                for host in {*self._subset(membership, agents), *homes}
             }
         )
 
+    def _subset(self, membership, agents):
+        """Return the agents to link to, beside the homes of keys.
+
+        A configuration tells which agents serve what, so that no service is missed.
+        Before one is known a few links of any kind are enough to get it from peers.
+        """
+        settings = self._settings
+        state = self._view.state
+        if state is None:
+            return subset_of(
+                settings.host,
+                agents,
+                membership.failure_domain,
+                settings.failure_domain,
+                settings.routing.subset_size,
+            )
+        return hosts_to_link(
+            settings.host,
+            agents,
+            {service: state.service_hosts(service) for service in state.services},
+            membership.failure_domain,
+            settings.failure_domain,
+            settings.routing,
+        )
+
     async def _drain(self):
         limit_s = self._settings.drain_limit_s
         if not await self._server.drain(Deadline.after(SYSTEM_CLOCK, limit_s)):
--- a/siskinthread/daemons/tests/test_entry.py
+++ b/siskinthread/daemons/tests/test_entry.py
@@ -1,4 +1,4 @@
-"""Test of the entry process as a whole, cut off from the platform."""
+"""Tests of the entry process as a whole."""
 
 import os
 import signal
@@ -6,10 +6,17 @@
 import curio
 
 from siskinthread.callers import CallerServer, CallerSettings
-from siskinthread.configuration import ConfigurationSettings
+from siskinthread.configuration import (
+    ConfigurationSettings,
+    Host,
+    Placement,
+    Selector,
+    Service,
+    State,
+)
 from siskinthread.daemons import EntrySettings, run_entry
 from siskinthread.daemons._entry import Entry
-from siskinthread.platform import PlatformSettings
+from siskinthread.platform import HostEntry, PlatformSettings
 from siskinthread.settings import Address, Key, KeyList
 from siskinthread.wire import PeerSettings
 
@@ -63,3 +70,32 @@
     monkeypatch.setattr(Entry, "_follow_host_list", probe_and_stop)
     assert run_entry(make_settings()) == 0
     assert statuses == [200, 503]
+
+
+def test_links_reach_a_small_service_once_it_is_configured():
+    """Among more agents than an entry links to, every service has links.
+
+    Symptom: ``no_target`` for a service with few hosts, at some entries only.
+    Sequence: the host list names 200 agents, two of which a placement gives to one
+    service.  Cause: the subset was taken from all agents, whatever they serve.
+    """
+    agents = [
+        HostEntry(f"host-{index:03d}", "agent", "127.0.0.1", 1, "steinkjer", False)
+        for index in range(200)
+    ]
+    hosts = [
+        Host(entry.host, {"runs": "varsel" if index < 2 else "drafts"})
+        for index, entry in enumerate(agents)
+    ]
+    services = [Service(name, {"name": name}, "plain") for name in ("varsel", "drafts")]
+    placements = [
+        Placement(name, {}, Selector(f"name={name}"), Selector(f"runs={name}"))
+        for name in ("varsel", "drafts")
+    ]
+    entry = Entry(make_settings())
+    entry._membership.replace(agents)
+    assert len(entry._links._links) < 60
+    entry._view.advance(State(1, [*hosts, *services, *placements]))
+    linked = {host for host, link in entry._links._links.items() if not link.retired}
+    assert {"host-000", "host-001"} <= linked
+    assert len(linked) < 60
