Keep the audit trail from the agents

Cause: nobody ran the archiver, so the trail of configuration and ownership would have ended with the log's retention; and map changes were recorded by a pace of their own, which doubles the bound on appends. Change: each agent runs the archiver, which writes on one agent of a failure domain, and shares one pace with the recorder. Ruled out: entries as writers, whose settings have no audit section.

--- a/scripts/demo_experts.py
+++ b/scripts/demo_experts.py
@@ -21,6 +21,10 @@
 from scripts._cluster_options import ClusterOptions, quick_options  # noqa: E402
 from scripts._processes import interruptible, Processes  # noqa: E402
 from scripts._progress import Progress  # noqa: E402
+from siskinthread.audit import AuditQuery, Kind  # noqa: E402
+from siskinthread.audit._operators import read_answer  # noqa: E402
+from siskinthread.platform import LogClient, PlatformSettings  # noqa: E402
+from siskinthread.settings import Address  # noqa: E402
 
 GROUP = "draft-group"
 RANKS = 4
@@ -38,6 +42,7 @@
     "owner_read_interval_s": 0.5,
     "read_interval_s": 1.0,
 }
+AUDIT_SETTINGS = {"append_interval_s": 0.5}
 CHANGE_WAIT_S = 20.0
 SETTLE_S = 2.0
 
@@ -62,6 +67,7 @@
             host, port = self.rank_addresses[self.agents.index(node)]
             settings["rank"] = {**RANK_SETTINGS, "address": f"{host}:{port}"}
             settings["ownership"] = OWNERSHIP_SETTINGS
+            settings["audit"] = AUDIT_SETTINGS
             path.write_text(json.dumps(settings))
         return path
 
@@ -162,8 +168,20 @@
             "skew_first": round(self.skews[0], 3),
             "skew_least": round(min(self.skews), 3),
             "version": after["versions"][0],
+            "audited_changes": await self._audited_changes(),
         }
 
+    async def _audited_changes(self):
+        """Return how many map changes the audit trail shows."""
+        address = Address(*self._cluster.platform.log)
+        settings = PlatformSettings(log=address, host_list=address)
+        streams = (settings.audit_stream, settings.ownership_stream)
+        query = AuditQuery(None, [Kind.EXPERT_MAP], *streams)
+        client = LogClient(settings)
+        answer = await read_answer(client, settings.configuration_stream, query)
+        await client.close()
+        return len(answer.entries)
+
 
 async def _run(progress, processes, folder):
     quick = quick_options(entries=1, engines=RANKS, plain_services=1)
--- a/siskinthread/daemons/_agent.py
+++ b/siskinthread/daemons/_agent.py
@@ -6,6 +6,7 @@
 
 from siskinthread.configuration import ConfigurationView
 from siskinthread.control import ControlPlane
+from siskinthread.daemons._audit_duties import AuditDuties
 from siskinthread.daemons._experts_status import no_group_status
 from siskinthread.daemons._group_duties import GroupDuties
 from siskinthread.daemons._supervision import run_until_stopped
@@ -54,6 +55,7 @@
     """
 
     __slots__ = (
+        "_audit",
         "_control",
         "_duties",
         "_membership",
@@ -93,6 +95,14 @@
             self._control,
         )
         self._server.answer_experts = lambda question: no_group_status(identity.host)
+        self._audit = AuditDuties(
+            settings,
+            identity,
+            self._membership,
+            LogClient(settings.platform),
+            clock,
+            self._metrics,
+        )
         self._duties = None
         if settings.rank.group:
             self._duties = GroupDuties(
@@ -101,6 +111,7 @@
                 self._view,
                 self._membership,
                 LogClient(settings.platform),
+                self._audit.recorder,
                 clock,
                 self._metrics,
             )
@@ -123,6 +134,7 @@
             "configuration": self._control.run,
             "membership": self._follow_host_list,
         }
+        tasks |= self._audit.tasks()
         if self._duties is not None:
             tasks |= self._duties.tasks()
         await run_until_stopped(tasks, self._drain)
--- a/siskinthread/daemons/_group_duties.py
+++ b/siskinthread/daemons/_group_duties.py
@@ -1,11 +1,10 @@
 """What an agent does for the model group whose rank runs on its host."""
 
 import functools
-import random as random_module
 
 import curio
 
-from siskinthread.audit import map_entry, Pace, Recorder
+from siskinthread.audit import map_entry
 from siskinthread.daemons._experts_status import group_status, no_group_status
 from siskinthread.experts import Controller, Objective, RankService, RemoteRanks
 from siskinthread.ownership import Claimer, Heartbeats, Liveness, OwnershipView
@@ -27,6 +26,8 @@
         Addresses of the other agents.
     client : LogClient
         Client of the log.
+    recorder : Recorder
+        Takes the map changes for the audit trail.
     clock : Clock
         The process's clock.
     metrics : Metrics
@@ -48,7 +49,9 @@
         "service",
     )
 
-    def __init__(self, settings, identity, view, membership, client, clock, metrics):
+    def __init__(
+        self, settings, identity, view, membership, client, recorder, clock, metrics
+    ):
         rank = settings.rank
         self._settings = settings
         self._identity = identity
@@ -71,16 +74,7 @@
             clock,
             metrics,
         )
-        self._recorder = Recorder(
-            client,
-            settings.platform.audit_stream,
-            settings.audit,
-            Pace(settings.audit, clock, random_module.Random()),
-            identity.host,
-            identity.incarnation,
-            clock,
-            metrics,
-        )
+        self._recorder = recorder
         self._ranks = RemoteRanks(
             rank.group, identity, settings.peers, rank.order_wait_s
         )
@@ -105,7 +99,6 @@
             "claims": self._claimer.run,
             "controller": self._control,
             "heartbeats": self._send_heartbeats,
-            "map changes": self._recorder.run,
         }
 
     def answer_experts(self, question):
