--- a/siskinthread/configuration/_follower.py
+++ b/siskinthread/configuration/_follower.py
@@ -164,6 +164,10 @@
         """Return the `ConfigurationUpdate` for a peer's `ConfigurationRequest`."""
         return await self._exchange.answer(request)
 
+    async def ask_peers(self):
+        """Ask a peer now, whether or not this process reads the log."""
+        await self._ask_peers(starting=False)
+
     async def step(self):
         """Follow the log or the peers once; return the pause, seconds."""
         if self._exchange.relies_on_peers():
--- a/siskinthread/control/_asking.py
+++ b/siskinthread/control/_asking.py
@@ -35,6 +35,7 @@
     """
 
     __slots__ = (
+        "_clock",
         "_first_link",
         "_questions",
         "_random",
@@ -49,7 +50,8 @@
         self._random = random
         self._questions = questions
         self._first_link = curio.Event()
-        self._start_deadline = Deadline.after(clock, FIRST_LINK_WAIT_S)
+        self._clock = clock
+        self._start_deadline = None
         self.links = {}
         self.asked = []
 
@@ -72,9 +74,7 @@
             # Links come up within the first second.  A process that didn't wait would
             # take a log that lost its tail for the truth, and in an outage would sit
             # through a whole back-off before it asked anybody.
-            await curio.ignore_after(
-                self._start_deadline.left_s(), self._first_link.wait
-            )
+            await self._wait_for_first_link()
         own_offset = request.status.applied_offset
         peers = self._at_start() if starting else self._one(own_offset)
         self.asked += peers
@@ -87,6 +87,11 @@
         self._questions.labels(result="unanswered").inc(len(peers) - len(updates))
         return updates
 
+    async def _wait_for_first_link(self):
+        if self._start_deadline is None:
+            self._start_deadline = Deadline.after(self._clock, FIRST_LINK_WAIT_S)
+        await curio.ignore_after(self._start_deadline.left_s(), self._first_link.wait)
+
     def _at_start(self):
         peers = self._shuffled(self.links.values())
         peers.sort(key=_known_offset, reverse=True)
--- a/siskinthread/control/_plane.py
+++ b/siskinthread/control/_plane.py
@@ -131,6 +131,10 @@
             self._peers.asked.clear()
             before = self._own_offset()
             pause_s = await self._follower.step()
+            if not self._peers.asked and self._peers.ahead(self._own_offset()):
+                # The log was read and lacks what a peer has: it lost its tail.  A
+                # process that started upon such a log would stay behind for good.
+                await self._follower.ask_peers()
             self._note_fruitless(before)
             if announced_offset != self.configuration_offset():
                 announced_offset = self.configuration_offset()
