--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.installed
 
-.PHONY: test demo experts explore faults capacity shares pages format generate clean
+.PHONY: test demo experts outage explore faults capacity shares pages format generate clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -22,6 +22,9 @@
 experts: $(READY)
 	$(BIN)/python scripts/demo_experts.py
 
+outage: $(READY)
+	$(BIN)/python scripts/outage_run.py
+
 # Failure runs on real daemons over loopback; several minutes.
 faults: $(READY)
 	$(BIN)/python scripts/demo_failures.py
--- a/siskinthread/measurement/_control_run.py
+++ b/siskinthread/measurement/_control_run.py
@@ -8,6 +8,7 @@
 import json
 import sys
 import time
+import zlib
 
 import curio
 from curio import subprocess
@@ -51,8 +52,11 @@
         self.body = b"[]"
 
     async def handle(self, request, exchange):
-        """Answer with the list."""
-        await exchange.answer(200, self.body)
+        """Answer with the list, or that it is the same."""
+        tag = f'"{zlib.crc32(self.body)}"'
+        unchanged = request.headers.get("if-none-match") == tag
+        status, body = (304, b"") if unchanged else (200, self.body)
+        await exchange.answer(status, body, more=[("etag", tag)])
 
 
 class WorkerProcess:
