Pass first tokens on at once

Cause: time stamps in every process showed 3.9 ms of the added time of a first token between the agent's write and the entry's read (the entry read a link every 10 ms at most), 1.6 ms in the agent's gathering and 1.8 ms in the entry's batch. Neither side could tell a first token from a later one at that place.

Ruled out: a shorter interval at the entry (0 and 1 ms, one trial each) with the agent as it was; on a machine with load 10 to 17 neither showed a gain above the noise, and the links' own benchmark has reading at once at twice the cost of a token.

Change: the agent gathers parts for up to 10 ms (was 2) but writes heads, first parts and ends at once, and waits only while it has attempts; the entry reads at once (`read_interval_s` 0, was 0.01); of the requests that one read brings news for, those that had nothing go first.

The test of the agent fails by its time limit when the first parts don't cut the wait short, that of the links fails when the order is taken out; both pass with the change.

Conclusion: what is left of the added time is mostly processor time of the hops; the next gain is in the cost of a request (2.8 ms at the entry) and of a token.

--- a/siskinthread/command_line/_measure.py
+++ b/siskinthread/command_line/_measure.py
@@ -20,8 +20,8 @@
     name="path",
     help="Measure the cost of the path from callers to engines.",
     description="Starts one entry, agents, stand-ins of engines and callers as "
-    "processes on loopback, loads them for about 100 s and ends them. Runs from a "
-    "checkout of the repository only. Exit code 1 if a figure exceeds its bound.",
+    "processes on loopback, loads them for about two minutes and ends them. Runs from "
+    "a checkout of the repository only. Exit code 1 if a figure exceeds its bound.",
 )
 @dataclass(slots=True)
 class PathCommand:
--- a/siskinthread/execution/_link.py
+++ b/siskinthread/execution/_link.py
@@ -42,6 +42,7 @@
         "_server",
         "_settings",
         "_silence_deadline",
+        "_urgent",
         "_wake",
         "attempts",
         "closed",
@@ -59,6 +60,7 @@
         self._clock = server.clock
         self._control = []
         self._dirty = {}
+        self._urgent = curio.Event()
         self._wake = curio.Event()
         self.attempts = set()
         self.handler = server.handler
@@ -119,9 +121,19 @@
             self._wake.clear()
             while (data := self._gather()) != b"":
                 await self._channel.send_bytes(data)
-            # While it waits, other streams' parts gather; without it each token of
-            # each stream would cost a system call.
-            await curio.sleep(self._settings.coalesce_wait_s)
+            if self.attempts:
+                await self._let_parts_gather()
+
+    async def _let_parts_gather(self):
+        """Wait a little, unless something urgent comes.
+
+        Without the wait, each token of each stream would cost a system call here and a
+        read at the entry.  A caller that waits for its first token or its end would
+        notice the wait.
+        """
+        self._urgent.clear()
+        wait_s = self._settings.coalesce_wait_s
+        await curio.ignore_after(wait_s, self._urgent.wait)
 
     def _gather(self):
         pieces = self._control
@@ -166,6 +178,8 @@
         """Write what an attempt has to send."""
         self._dirty[attempt] = True
         await self._wake.set()
+        if not attempt.sent_bytes or attempt.execution.ended:
+            await self._urgent.set()
 
     def forget(self, attempt):
         """Write nothing more for an attempt."""
@@ -174,18 +188,22 @@
 
     async def send(self, frame):
         """Write a frame as soon as possible."""
+        await self._put(frame)
+        await self._urgent.set()
+
+    async def _put(self, frame):
         self._control.append(encode_frame(frame))
         await self._wake.set()
 
     async def send_heartbeat(self):
-        """Send a heartbeat at once."""
+        """Send a heartbeat now, within `coalesce_wait_s`."""
         self._heartbeat_sequence += 1
         heartbeat = Heartbeat(
             sequence=self._heartbeat_sequence,
             load=self._server.load_report(),
             configuration_offset=self.control.configuration_offset(),
         )
-        await self.send(Frame(heartbeat=heartbeat))
+        await self._put(Frame(heartbeat=heartbeat))
 
     async def send_end(self, attempt_id, end):
         """Tell an attempt its end."""
--- a/siskinthread/execution/_settings.py
+++ b/siskinthread/execution/_settings.py
@@ -50,9 +50,10 @@
     )
     coalesce_wait_s = Item(
         float,
-        default=0.002,
+        default=0.01,
         minimum=0.0,
-        description="Time for which response parts are gathered before a write.",
+        description="Longest time for which response parts are gathered before a "
+        "write; the first and the last of a response are written at once.",
     )
     keyed_answer_limit_bytes = Item(
         int,
--- a/siskinthread/execution/tests/test_requests.py
+++ b/siskinthread/execution/tests/test_requests.py
@@ -382,3 +382,30 @@
         await entry.settled()
 
     run(scenario)
+
+
+def test_first_bytes_and_ends_do_not_wait_for_others():
+    """The first part and the end of a response are written at once.
+
+    Symptom: first tokens come some milliseconds late under load.  Sequence: a stream
+    is under way, so that the writer gathers parts; another request gets its first
+    token.  Cause: it waits for the end of the gathering like any later token.
+    """
+
+    async def scenario(bench):
+        entry = await bench.entry()
+        await entry.send(start_request(1, "r-1"))
+        stream = await bench.begun()
+        await stream.head()
+        await stream.part(b"first")
+        await entry.received(1, len(b"first"))
+        await stream.part(b", later")
+        await entry.send(start_request(2, "r-2"))
+        other = await bench.begun()
+        await other.head()
+        await other.part(b"first")
+        await entry.received(2, len(b"first"))
+        await stream.end()
+        assert (await entry.ended(1)).body == b"first, later"
+
+    run(scenario, coalesce_wait_s=3600.0)
--- a/siskinthread/links/_receiving.py
+++ b/siskinthread/links/_receiving.py
@@ -57,10 +57,12 @@
                 # the connection for ever would break every other stream on it.
                 await link.abandon(exchange, _answer_gone())
                 continue
-            if new:
+            if not new:
+                link.metrics.repeated_frames.inc()
+            elif part.offset_bytes:
                 batch.add(exchange.place)
             else:
-                link.metrics.repeated_frames.inc()
+                batch.add_first(exchange.place)
     finally:
         await batch.wake()
 
--- a/siskinthread/links/_waiting.py
+++ b/siskinthread/links/_waiting.py
@@ -39,22 +39,29 @@
 class WakeBatch:
     """Places whose tasks are to be woken together."""
 
-    __slots__ = ("_places",)
+    __slots__ = ("_first_places", "_places")
 
     def __init__(self):
+        self._first_places = []
         self._places = []
 
     def add(self, place):
         """Have the task of a `WaitingPlace` woken by the next `wake`."""
         self._places.append(place)
 
+    def add_first(self, place):
+        """Have a task woken before those of `add`: its caller has nothing so far."""
+        self._first_places.append(place)
+
     async def wake(self):
         """Wake the tasks of all places that were added."""
-        if self._places:
-            await _scheduler_wake(self, len(self._places))
+        count = len(self._first_places) + len(self._places)
+        if count:
+            await _scheduler_wake(self, count)
 
     def _kernel_wake(self, count):
-        places, self._places = self._places, []
+        places = self._first_places + self._places
+        self._first_places, self._places = [], []
         tasks = []
         for place in places:
             # A place that was added twice has lost its task the second time.
--- a/siskinthread/links/tests/test_reading.py
+++ b/siskinthread/links/tests/test_reading.py
@@ -7,6 +7,7 @@
 from siskinthread.errors import ConnectionLostError
 from siskinthread.links._metrics import LinkMetrics
 from siskinthread.links._reading import Reader
+from siskinthread.links._waiting import WaitingPlace, WakeBatch
 from siskinthread.links.tests.fake_agent import peer_settings
 from siskinthread.timing import ManualClock
 from siskinthread.wire import Frame, Heartbeat
@@ -66,3 +67,32 @@
     """A connection with nothing to read past its silence limit is lost."""
     with pytest.raises(ConnectionLostError):
         read_after_pause([])
+
+
+def test_caller_without_a_token_is_served_first():
+    """Of the requests with news in one read, those that had nothing go first.
+
+    Symptom: first tokens come late by the time that a whole batch takes.  Sequence: a
+    read brings a token for each of many streams, the newest stream's last.  Cause: the
+    request tasks run in the order of the frames.
+    """
+    order = []
+
+    async def wait_in(place, name):
+        await place.wait()
+        order.append(name)
+
+    async def scenario():
+        batch = WakeBatch()
+        tasks = []
+        for name, add in (("old", batch.add), ("new", batch.add_first)):
+            place = WaitingPlace()
+            tasks.append(await curio.spawn(wait_in, place, name))
+            add(place)
+        await curio.sleep(0)
+        await batch.wake()
+        for task in tasks:
+            await task.join()
+
+    curio.run(scenario)
+    assert order == ["new", "old"]
--- a/siskinthread/measurement/_path.py
+++ b/siskinthread/measurement/_path.py
@@ -17,7 +17,7 @@
     Parameters
     ----------
     quick : bool
-        Whether to measure for about 40 s and fewer levels instead of about 100 s.
+        Whether to measure for about 50 s and fewer levels instead of two minutes.
     say : callable or None
         Takes a line on the progress; None prints it to the standard error.
 
--- a/siskinthread/wire/_settings.py
+++ b/siskinthread/wire/_settings.py
@@ -38,7 +38,7 @@
     )
     read_interval_s = Item(
         float,
-        default=0.01,
+        default=0.0,
         minimum=0.0,
         description="Shortest time between two reads of one connection; small frames "
         "that arrive meanwhile are handled together, which saves processor time.",
