Run both daemons by one function

Cause: the same steps around a daemon stood twice. Change: run_daemon. Ruled out: a common base class, since nothing else is shared.

--- a/siskinthread/daemons/_agent.py
+++ b/siskinthread/daemons/_agent.py
@@ -9,17 +9,17 @@
 from siskinthread.daemons._audit_duties import AuditDuties
 from siskinthread.daemons._experts_status import no_group_status
 from siskinthread.daemons._group_duties import GroupDuties
+from siskinthread.daemons._running import BACKLOG, run_daemon
 from siskinthread.daemons._supervision import run_until_stopped
 from siskinthread.execution import AgentServer, StatusServer
 from siskinthread.membership import follow_host_list, MembershipView
-from siskinthread.observability import Metrics, part_logger, set_up_logging
+from siskinthread.observability import Metrics, part_logger
 from siskinthread.platform import HostListClient, LogClient
 from siskinthread.targets import build_target
 from siskinthread.timing import Deadline, SYSTEM_CLOCK
 from siskinthread.wire import Identity
 
 AGENT_ROLE = "agent"
-BACKLOG = 1024
 
 _logger = part_logger("daemons")
 
@@ -37,12 +37,7 @@
     int
         Exit status.
     """
-    output = set_up_logging(settings.logging)
-    try:
-        curio.run(Agent(settings).run)
-    finally:
-        output.close()
-    return 0
+    return run_daemon(Agent, settings)
 
 
 class Agent:
--- a/siskinthread/daemons/_entry.py
+++ b/siskinthread/daemons/_entry.py
@@ -9,11 +9,12 @@
 from siskinthread.configuration import ConfigurationView
 from siskinthread.control import ControlPlane, OperatorServer
 from siskinthread.daemons._home_links import HomeLinks
+from siskinthread.daemons._running import BACKLOG, run_daemon
 from siskinthread.daemons._supervision import run_until_stopped
 from siskinthread.dispatch import Dispatcher
 from siskinthread.links import AgentLinks
 from siskinthread.membership import follow_host_list, MembershipView
-from siskinthread.observability import Metrics, part_logger, set_up_logging
+from siskinthread.observability import Metrics, part_logger
 from siskinthread.platform import HostListClient, LogClient
 from siskinthread.routing import hosts_to_link, Router, subset_of
 from siskinthread.settings import Address
@@ -21,7 +22,6 @@
 from siskinthread.wire import Identity
 
 ENTRY_ROLE = "entry"
-BACKLOG = 1024
 
 _logger = part_logger("daemons")
 
@@ -39,12 +39,7 @@
     int
         Exit status.
     """
-    output = set_up_logging(settings.logging)
-    try:
-        curio.run(Entry(settings).run)
-    finally:
-        output.close()
-    return 0
+    return run_daemon(Entry, settings)
 
 
 class Entry:
