Change the expert maps of model groups from the entries

Ruled out: the planner of `experts`: numpy takes 14 MB more a process, and its maps have as many slots as experts are held.

Change: slice `group_maps`: learns groups from reports, reads counts of two ranks a second, plans at most three copies a rank, and changes the map by prepare, hold, arm on all, release; left changes are finished or undone. Shares of groups are dealt out by the platform's store. Choice of target goes by the load of groups before ranks.

--- a/siskinthread/gateway/__init__.py
+++ b/siskinthread/gateway/__init__.py
@@ -13,7 +13,6 @@
 from siskinthread.gateway._table import (
     Account,
     CallerLimits,
-    ExpertLayout,
     RequestKind,
     Route,
     RouteTable,
@@ -26,7 +25,6 @@
     "Account",
     "AnswerFacts",
     "CallerLimits",
-    "ExpertLayout",
     "Gateway",
     "GatewaySettings",
     "LoadReport",
--- a/siskinthread/gateway/_following.py
+++ b/siskinthread/gateway/_following.py
@@ -83,10 +83,18 @@
         Whether the source answers.
     """
 
-    __slots__ = ("_position", "_settings", "_source", "_view", "dependency")
+    __slots__ = (
+        "_position",
+        "_reading",
+        "_settings",
+        "_source",
+        "_view",
+        "dependency",
+    )
 
     def __init__(self, source, view, settings, clock):
         self._source = source
+        self._reading = None
         self._view = view
         self._settings = settings
         self._position = None
@@ -95,27 +103,43 @@
     async def run(self):
         """Follow for ever."""
         while True:
+            self._reading = await curio.spawn(self._read, daemon=True)
             try:
-                tables = await self._read()
-            except PlatformUnavailableError as error:
-                self.dependency.failed(error)
-                await curio.sleep(self._settings.source_retry_s)
-                continue
-            except PositionExpiredError as error:
-                _logger.event("published configuration is read anew", reason=str(error))
-                self._position = None
+                tables = await self._reading.join()
+            except curio.TaskError as error:
+                await self._note_failure(error.__cause__)
                 continue
             self.dependency.answered()
             for table in tables:
                 self._put_in_force(table)
 
+    async def read_again(self):
+        """Give up a read that may wait in vain, and read at once.
+
+        Symptom without this: a change came into force 8 s late.  A read that waits for
+        changes reached the source while it answered nothing; the source came back and
+        never answered that read.
+        """
+        if self._reading is not None:
+            await self._reading.cancel(blocking=False)
+
+    async def _note_failure(self, error):
+        if isinstance(error, PlatformUnavailableError):
+            self.dependency.failed(error)
+            await curio.sleep(self._settings.source_retry_s)
+        elif isinstance(error, PositionExpiredError):
+            _logger.event("published configuration is read anew", reason=str(error))
+            self._position = None
+        elif not isinstance(error, curio.TaskCancelled):
+            raise error
+
     async def _read(self):
         if self._position is None:
             table, self._position = await self._source.read_newest()
             return [] if table is None else [table]
-        tables, self._position = await self._source.read_changes(
-            self._position, self._settings.table_wait_s
-        )
+        # A source that has just failed is asked for an answer at once.
+        wait_s = 0.0 if self.dependency.is_lost else self._settings.table_wait_s
+        tables, self._position = await self._source.read_changes(self._position, wait_s)
         return tables
 
     def _put_in_force(self, table):
@@ -143,6 +167,8 @@
         Times.
     clock : siskinthread.timing.Clock
         Clock of the ages.
+    when_regained : callable
+        Coroutine function that is called when the source answers again.
 
     Attributes
     ----------
@@ -156,10 +182,12 @@
         "_settings",
         "_source",
         "_targets",
+        "_when_regained",
         "dependency",
     )
 
-    def __init__(self, source, targets, settings, clock):
+    def __init__(self, source, targets, settings, clock, when_regained):
+        self._when_regained = when_regained
         self._source = source
         self._targets = targets
         self._settings = settings
@@ -182,6 +210,8 @@
                 _logger.event("target list is read anew", reason=str(error))
                 self._position = None
                 continue
+            if self.dependency.is_lost:
+                await self._when_regained()
             self.dependency.answered()
             self._targets.expire_lapsed()
             await curio.sleep(next_read.left_s())
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -166,7 +166,11 @@
         )
         self._table_follower = TableFollower(table_source, self.view, settings, clock)
         self._target_follower = TargetFollower(
-            target_source, self.parts.targets, settings, clock
+            target_source,
+            self.parts.targets,
+            settings,
+            clock,
+            when_regained=self._table_follower.read_again,
         )
         ended_count = metrics.counter(
             "gateway_connections_ended",
--- a/siskinthread/gateway/_table.py
+++ b/siskinthread/gateway/_table.py
@@ -148,30 +148,6 @@
         self.priority = priority
 
 
-class ExpertLayout:
-    """Shape of the expert maps of a model service.
-
-    Parameters
-    ----------
-    set_count : int
-        Sets of layers that have experts of their own.
-    expert_count : int
-        Experts of a set.
-    place_count : int
-        Most experts that a rank holds of a set.
-    spare_count : int
-        Most experts of a set that one change may bring to a rank.
-    """
-
-    __slots__ = ("expert_count", "place_count", "set_count", "spare_count")
-
-    def __init__(self, set_count, expert_count, place_count, spare_count):
-        self.set_count = set_count
-        self.expert_count = expert_count
-        self.place_count = place_count
-        self.spare_count = spare_count
-
-
 class Service:
     """A group of targets that serve the same requests.
 
@@ -183,7 +159,7 @@
         Most connections that one target takes from everybody together.
     slot_count : int or None
         Requests that a model engine runs at once; None for a plain service.
-    experts : ExpertLayout or None
+    experts : siskinthread.group_maps.ExpertLayout or None
         Shape of its expert maps, if it has them.
     """
 
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -20,6 +20,12 @@
         Which of them fail.
     random : random.Random
         Breaks ties.
+
+    Attributes
+    ----------
+    group_of : callable
+        Returns the name of the group of a target by its instance id, or None.  The
+        ranks of a group run in lock-step, so that the load of one slows all.
     """
 
     __slots__ = (
@@ -29,6 +35,7 @@
         "_random",
         "_settings",
         "_targets",
+        "group_of",
     )
 
     def __init__(self, settings, failure_domain, targets, loads, health, random):
@@ -38,6 +45,7 @@
         self._loads = loads
         self._health = health
         self._random = random
+        self.group_of = _no_group
 
     def choose(self, request, tried_ids):
         """Return the `TargetEntry` for a request, or why there is none.
@@ -63,7 +71,8 @@
             for entry in fresh
             if not self._health.is_passed_over(entry.instance_id)
         ]
-        chosen = min(trusted or fresh, key=self._rank)
+        group_loads = self._group_loads(serving)
+        chosen = min(trusted or fresh, key=lambda entry: self._rank(entry, group_loads))
         if self._load(chosen) >= 1 + self._settings.waiting_per_slot:
             message = "Every target has as many requests as it can serve in time."
             return self._refusal(Reason.OVERLOADED, request, message)
@@ -80,11 +89,23 @@
         spread = 0.6 + 0.8 * self._random.random()
         return min(self._settings.retry_after_s * spread, request.deadline.left_s() / 4)
 
-    def _rank(self, entry):
+    def _group_loads(self, serving):
+        """Return the mean load of the targets of each group."""
+        loads = {}
+        for entry in serving:
+            group = self.group_of(entry.instance_id)
+            if group is not None:
+                loads.setdefault(group, []).append(self._load(entry))
+        return {group: sum(one) / len(one) for group, one in loads.items()}
+
+    def _rank(self, entry, group_loads):
         is_away = entry.failure_domain != self._failure_domain
-        return self._load(entry), is_away, self._random.random()
+        load = self._load(entry)
+        group_load = group_loads.get(self.group_of(entry.instance_id), load)
+        return load >= 1, group_load, load, is_away, self._random.random()
 
     def _load(self, entry):
+        """Return the requests of a target for each of its slots."""
         return self._loads.total(entry.instance_id) / max(1, entry.slot_count)
 
     def _refusal(self, reason, request, message):
@@ -94,3 +115,7 @@
             message=message,
             retry_after_s=self.come_back_after_s(request),
         )
+
+
+def _no_group(instance_id):
+    return None
--- /dev/null
+++ b/siskinthread/group_maps/__init__.py
@@ -0,0 +1,64 @@
+"""Expert maps of groups whose ranks take orders over HTTP.
+
+Interface: ``GroupDirectory(build_client, settings)`` learns which targets are ranks of
+which groups; ``GroupDuty(directory, shares, find_layout, settings, clock, measures)``
+with ``async run()`` controls those that fall to this process.  How a map changes
+without a mixed pass stands in `MapChange`.
+"""
+
+from siskinthread.group_maps._change import ChangeResult, MapChange
+from siskinthread.group_maps._controller import GroupController
+from siskinthread.group_maps._demand import Demand
+from siskinthread.group_maps._directory import GroupDirectory
+from siskinthread.group_maps._duty import GroupDuty, Shares
+from siskinthread.group_maps._layout import (
+    ExpertLayout,
+    GroupMap,
+    rank_loads,
+    relative_pass_time,
+)
+from siskinthread.group_maps._measures import MapMeasures
+from siskinthread.group_maps._orders import (
+    Arm,
+    ArmedMap,
+    Disarm,
+    HeldExperts,
+    Hold,
+    OrderResult,
+    Prepare,
+    RankCounts,
+    RankReport,
+    Release,
+)
+from siskinthread.group_maps._planner import Plan, plan_change
+from siskinthread.group_maps._ranks import GroupRanks
+from siskinthread.group_maps._settings import GroupMapSettings
+
+__all__ = [
+    "Arm",
+    "ArmedMap",
+    "ChangeResult",
+    "Demand",
+    "Disarm",
+    "ExpertLayout",
+    "GroupController",
+    "GroupDirectory",
+    "GroupDuty",
+    "GroupMap",
+    "GroupMapSettings",
+    "GroupRanks",
+    "HeldExperts",
+    "Hold",
+    "MapChange",
+    "MapMeasures",
+    "OrderResult",
+    "Plan",
+    "Prepare",
+    "RankCounts",
+    "RankReport",
+    "Release",
+    "Shares",
+    "plan_change",
+    "rank_loads",
+    "relative_pass_time",
+]
--- /dev/null
+++ b/siskinthread/group_maps/_controller.py
@@ -0,0 +1,214 @@
+"""Controls the expert map of one group."""
+
+import curio
+
+from siskinthread.errors import TargetError
+from siskinthread.group_maps._change import (
+    ChangeResult,
+    highest_version,
+    MapChange,
+)
+from siskinthread.group_maps._demand import Demand
+from siskinthread.group_maps._layout import GroupMap
+from siskinthread.group_maps._planner import plan_change
+from siskinthread.observability import part_logger
+from siskinthread.timing import Deadline
+
+_logger = part_logger("group_maps")
+
+# A pass of an idle or just formed group has not been timed; between the fastest
+# engines' 0.03 s and a fully loaded group's 0.1 s.
+USUAL_PASS_S = 0.06
+LEAST_PASS_S = 0.02
+LONGEST_PASS_S = 1.0
+
+
+class GroupController:
+    """Looks at a group's demand and changes its map, for as long as it is told to.
+
+    Parameters
+    ----------
+    group_name : str
+        For the log.
+    ranks : GroupRanks
+        The ranks of the group.
+    layout : ExpertLayout
+        Shape of the maps.
+    settings : GroupMapSettings
+        Times and limits.
+    clock : siskinthread.timing.Clock
+        Clocks.
+    measures : MapMeasures
+        Metrics.
+    """
+
+    __slots__ = (
+        "_change",
+        "_clock",
+        "_demand",
+        "_epoch",
+        "_group_name",
+        "_layout",
+        "_map",
+        "_measures",
+        "_next_sample",
+        "_passes",
+        "_ranks",
+        "_settings",
+        "_unsettled_since_s",
+        "_version_floor",
+    )
+
+    def __init__(self, group_name, ranks, layout, settings, clock, measures):
+        self._group_name = group_name
+        self._ranks = ranks
+        self._layout = layout
+        self._settings = settings
+        self._clock = clock
+        self._measures = measures
+        self._change = MapChange(ranks, layout, settings, clock)
+        self._demand = Demand(settings)
+        self._epoch = None
+        self._map = None
+        self._unsettled_since_s = None
+        self._passes = _PassTimes(clock)
+        self._next_sample = 0
+        self._version_floor = 0
+
+    async def run(self):
+        """Control the group until cancelled, which is harmless at any moment."""
+        while True:
+            next_look = Deadline.after(self._clock, self._settings.observe_interval_s)
+            try:
+                is_due_again = await self._look()
+            except TargetError as error:
+                _logger.event(
+                    "group can't be looked at",
+                    group=self._group_name,
+                    reason=str(error),
+                )
+                await curio.sleep(self._settings.failure_wait_s)
+                continue
+            if not is_due_again:
+                await curio.sleep(next_look.left_s())
+
+    async def _look(self):
+        """Look at the group once; return whether the next look is due at once."""
+        if not await self._is_undisturbed():
+            await curio.sleep(self._layout.report_lag_s)
+            return True
+        await self._count()
+        if self._demand.loads_by_set is None:
+            return False
+        return await self._plan_and_change()
+
+    async def _is_undisturbed(self):
+        """Return whether the group runs, and no other change is under way in it."""
+        report = await self._ranks.clients[0].report(self._settings.order_wait_s)
+        if not report.is_open:
+            self._epoch = None
+            return False
+        self._passes.note(report)
+        if report.epoch != self._epoch or report.map_version > self._map.version:
+            await self._read_map()
+        is_settled = report.map_version == self._map.version
+        if is_settled and report.held_pass is None and report.armed is None:
+            self._unsettled_since_s = None
+            return True
+        now_s = self._clock.monotonic_s()
+        if self._unsettled_since_s is None:
+            self._unsettled_since_s = now_s
+        elif now_s - self._unsettled_since_s > self._settings.stuck_limit_s:
+            self._unsettled_since_s = None
+            if await self._change.finish_or_undo(self._map):
+                self._epoch = None
+        return False
+
+    async def _read_map(self):
+        held = await self._ranks.held_experts()
+        epochs = {one.epoch for one in held}
+        versions = {one.map_version for one in held}
+        if len(epochs) != 1 or len(versions) != 1:
+            raise TargetError("the ranks are changing their map")
+        set_count = self._layout.set_count
+        holdings = [[one.experts_by_set[i] for one in held] for i in range(set_count)]
+        self._map = GroupMap(versions.pop(), holdings, self._layout.expert_count)
+        self._epoch = epochs.pop()
+        _logger.event(
+            "map learnt",
+            group=self._group_name,
+            epoch=self._epoch,
+            version=self._map.version,
+        )
+
+    async def _count(self):
+        """Read the counts of a few ranks, always the same ones."""
+        settings = self._settings
+        counts = {}
+        step = max(1, len(self._ranks.clients) // settings.sample_rank_count)
+        for rank in range(0, len(self._ranks.clients), step):
+            client = self._ranks.clients[rank]
+            counts[rank] = await client.counts(settings.order_wait_s)
+        self._demand.note(counts)
+
+    async def _plan_and_change(self):
+        version = max(self._map.version, self._version_floor) + 1
+        plan = plan_change(
+            self._map, self._demand.loads_by_set, self._layout, self._settings, version
+        )
+        self._measures.relative_pass_time(self._group_name, plan.time_before)
+        if plan.gain < self._settings.least_gain:
+            return False
+        result = await self._change.run(
+            self._epoch, self._map, plan.group_map, self._passes.pass_s
+        )
+        _logger.event(
+            "map change",
+            group=self._group_name,
+            epoch=self._epoch,
+            version=version,
+            result=result.value,
+            time_before=round(plan.time_before, 3),
+            time_after=round(plan.time_after, 3),
+            pass_s=round(self._passes.pass_s, 3),
+        )
+        self._measures.change_ended(result)
+        # A version may have been heard of by some ranks; it must not be used again.
+        self._version_floor = version
+        if result is ChangeResult.IN_FORCE:
+            self._map = plan.group_map
+            return True
+        await self._take_up(result)
+        return False
+
+    async def _take_up(self, result):
+        """Go on after a change that did not come into force."""
+        if result is ChangeResult.LEFT_HELD:
+            limit = Deadline.after(self._clock, self._settings.stuck_limit_s)
+            while not limit.passed():
+                if await self._change.finish_or_undo(self._map):
+                    break
+        reports = await self._ranks.reports()
+        self._version_floor = max(self._version_floor, highest_version(reports))
+        # Whichever map it is now, it is read anew.
+        self._epoch = None
+
+
+class _PassTimes:
+    """Time of a pass, from the numbers of passes in two reports."""
+
+    __slots__ = ("_clock", "_last_number", "_last_s", "pass_s")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._last_number = None
+        self._last_s = None
+        self.pass_s = USUAL_PASS_S
+
+    def note(self, report):
+        now_s = self._clock.monotonic_s()
+        if self._last_number is not None and report.pass_number > self._last_number:
+            pass_s = (now_s - self._last_s) / (report.pass_number - self._last_number)
+            self.pass_s = min(LONGEST_PASS_S, max(LEAST_PASS_S, pass_s))
+        self._last_number = report.pass_number
+        self._last_s = now_s
--- /dev/null
+++ b/siskinthread/group_maps/_duty.py
@@ -0,0 +1,139 @@
+"""The groups that this process controls."""
+
+import zlib
+
+import curio
+
+from siskinthread.errors import PlatformUnavailableError
+from siskinthread.group_maps._controller import GroupController
+from siskinthread.group_maps._ranks import GroupRanks
+from siskinthread.observability import part_logger
+from siskinthread.timing import Deadline
+
+_logger = part_logger("group_maps")
+
+
+class GroupDuty:
+    """Controls the groups whose share of the work falls to this process.
+
+    Parameters
+    ----------
+    directory : GroupDirectory
+        Which groups there are.
+    shares : object
+        ``async renew()`` returns the `Shares` that this process holds; raises
+        `PlatformUnavailableError`.
+    find_layout : callable
+        Returns the `ExpertLayout` of a group by an instance id of it, or None.
+    settings : GroupMapSettings
+        Times.
+    clock : siskinthread.timing.Clock
+        Clocks.
+    measures : MapMeasures
+        Metrics.
+
+    Notes
+    -----
+    Two processes may control one group for a while; a change is safe then too, see
+    `MapChange`, but they hinder one another.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_controllers",
+        "_directory",
+        "_expiry",
+        "_find_layout",
+        "_held",
+        "_measures",
+        "_settings",
+        "_shares",
+    )
+
+    def __init__(self, directory, shares, find_layout, settings, clock, measures):
+        self._directory = directory
+        self._shares = shares
+        self._find_layout = find_layout
+        self._settings = settings
+        self._clock = clock
+        self._measures = measures
+        self._controllers = {}
+        self._held = None
+        self._expiry = Deadline.after(clock, 0.0)
+
+    async def run(self):
+        """Hold the shares and control their groups until cancelled."""
+        try:
+            while True:
+                await self._renew()
+                await self._reconcile()
+                await curio.sleep(self._settings.renew_interval_s)
+        finally:
+            await self._stop_all()
+
+    async def _renew(self):
+        expiry = Deadline.after(self._clock, self._settings.share_lapse_s)
+        try:
+            self._held = await self._shares.renew()
+        except PlatformUnavailableError as error:
+            if self._held is not None and self._expiry.passed():
+                _logger.event("shares have lapsed", reason=str(error))
+                self._held = None
+            return
+        self._expiry = expiry
+
+    async def _reconcile(self):
+        groups = {
+            name: clients
+            for name, clients in self._directory.complete_groups().items()
+            if self._held is not None and self._held.contains(name)
+        }
+        for name in list(self._controllers):
+            ids, task = self._controllers[name]
+            if name not in groups or list(groups[name]) != ids:
+                del self._controllers[name]
+                await task.cancel()
+                _logger.event("group is not controlled here any more", group=name)
+        for name, clients in groups.items():
+            if name not in self._controllers:
+                await self._start(name, clients)
+
+    async def _start(self, name, clients):
+        layout = self._find_layout(next(iter(clients)))
+        if layout is None:
+            return
+        ranks = GroupRanks(list(clients.values()), self._settings)
+        controller = GroupController(
+            name, ranks, layout, self._settings, self._clock, self._measures
+        )
+        task = await curio.spawn(controller.run, daemon=True)
+        self._controllers[name] = (list(clients), task)
+        _logger.event("group is controlled here", group=name, ranks=len(clients))
+
+    async def _stop_all(self):
+        async with curio.disable_cancellation():
+            for _, task in self._controllers.values():
+                await task.cancel()
+        self._controllers.clear()
+
+
+class Shares:
+    """The part of all groups that a process holds.
+
+    Parameters
+    ----------
+    numbers : set of int
+        Numbers of its shares.
+    count : int
+        Number of all shares.
+    """
+
+    __slots__ = ("_count", "_numbers")
+
+    def __init__(self, numbers, count):
+        self._numbers = numbers
+        self._count = count
+
+    def contains(self, name):
+        """Return whether a group falls to this process."""
+        return zlib.crc32(name.encode()) % self._count in self._numbers
--- /dev/null
+++ b/siskinthread/group_maps/_planner.py
@@ -0,0 +1,192 @@
+"""Plans the next small change of a group's expert map.
+
+Demand moves on every few seconds, and copying experts slows the group's passes.  A
+change that copies much comes too late; so each plan copies a few experts a rank, where
+they relieve the group most, and the next plan goes on from there.
+"""
+
+from siskinthread.group_maps._layout import (
+    GroupMap,
+    rank_loads,
+    relative_pass_time,
+    replica_counts,
+)
+
+# Exponent of the norm that stands for the most loaded rank.  The plain maximum has
+# plateaus: with two ranks equally hot, relieving one of them shows no gain.
+NORM = 8
+# Candidates that are looked at for each step; hotter experts and cooler ranks first.
+EXPERT_CANDIDATES = 3
+RANK_CANDIDATES = 4
+EVICTION_CANDIDATES = 2
+
+
+class Plan:
+    """A map to go to, and what it promises.
+
+    Parameters
+    ----------
+    group_map : GroupMap
+        The new map.
+    time_before, time_after : float
+        Time of a pass relative to evenly loaded ranks.
+    """
+
+    __slots__ = ("group_map", "time_after", "time_before")
+
+    def __init__(self, group_map, time_before, time_after):
+        self.group_map = group_map
+        self.time_before = time_before
+        self.time_after = time_after
+
+    @property
+    def gain(self):
+        """Part of the time of a pass that is saved."""
+        return 1 - self.time_after / self.time_before
+
+
+def plan_change(group_map, loads_by_set, layout, settings, version):
+    """Return the `Plan` of the next change.
+
+    Parameters
+    ----------
+    group_map : GroupMap
+        The map in force.
+    loads_by_set : list of list of float
+        Load of each expert by set.
+    layout : ExpertLayout
+        Shape of the maps.
+    settings : GroupMapSettings
+        How much one change may copy.
+    version : int
+        Version of the new map.
+    """
+    rank_count = len(group_map.holdings[0])
+    copies_left = [settings.copies_limit] * rank_count
+    searches = [
+        _SetSearch([set(rank) for rank in ranks], loads, layout)
+        for ranks, loads in zip(group_map.holdings, loads_by_set, strict=True)
+    ]
+    while True:
+        steps = [search.best_step(copies_left) for search in searches]
+        best = max(steps, key=lambda step: step.gain)
+        if best.gain <= settings.least_step_gain:
+            break
+        best.search.take(best)
+        copies_left[best.rank] -= 1
+    holdings = [[tuple(sorted(rank)) for rank in search.ranks] for search in searches]
+    return Plan(
+        GroupMap(version, holdings, layout.expert_count),
+        relative_pass_time(group_map.holdings, loads_by_set, layout.expert_share),
+        relative_pass_time(holdings, loads_by_set, layout.expert_share),
+    )
+
+
+class _Step:
+    """One more replica: expert, rank that gets it, and what it gives up for it."""
+
+    __slots__ = ("evicted", "expert", "gain", "rank", "search")
+
+    def __init__(self, search, gain, expert=None, rank=None, evicted=None):
+        self.search = search
+        self.gain = gain
+        self.expert = expert
+        self.rank = rank
+        self.evicted = evicted
+
+
+class _SetSearch:
+    """Search within one set.
+
+    Parameters
+    ----------
+    ranks : list of set of int
+        Experts of each rank; changed by `take`.
+    loads : list of float
+        Load of each expert.
+    layout : ExpertLayout
+        Shape of the maps.
+    """
+
+    def __init__(self, ranks, loads, layout):
+        self.ranks = ranks
+        total = sum(loads) or 1.0
+        # Relative to the mean load of a rank, so that sets can be compared.
+        self._loads = [load * len(ranks) / total for load in loads]
+        self._layout = layout
+        self._added = [0] * len(ranks)
+        self._best = None
+        self._best_for = None
+
+    def take(self, step):
+        """Put a step into the map."""
+        if step.evicted is not None:
+            self.ranks[step.rank].discard(step.evicted)
+        self.ranks[step.rank].add(step.expert)
+        self._added[step.rank] += 1
+        self._best = None
+
+    def best_step(self, copies_left):
+        """Return the step that relieves the set most, of gain 0 if none does."""
+        allowed = [
+            left > 0 and added < self._layout.spare_count
+            for left, added in zip(copies_left, self._added, strict=True)
+        ]
+        if self._best is None or self._best_for != allowed:
+            self._best = self._search(allowed)
+            self._best_for = allowed
+        return self._best
+
+    def _search(self, allowed):
+        by_rank = rank_loads(self.ranks, self._loads)
+        replicas = replica_counts(self.ranks, len(self._loads))
+        before = _norm(by_rank)
+        best = _Step(self, 0.0)
+        hottest = max(range(len(by_rank)), key=by_rank.__getitem__)
+        coolest = sorted(range(len(by_rank)), key=by_rank.__getitem__)
+        experts = sorted(
+            self.ranks[hottest],
+            key=lambda expert: self._loads[expert] / replicas[expert],
+            reverse=True,
+        )
+        for expert in experts[:EXPERT_CANDIDATES]:
+            takers = [
+                rank
+                for rank in coolest
+                if allowed[rank] and expert not in self.ranks[rank]
+            ]
+            for rank in takers[:RANK_CANDIDATES]:
+                for evicted in self._evictions(rank, replicas):
+                    after = self._after(by_rank, replicas, expert, rank, evicted)
+                    gain = before - _norm(after)
+                    if gain > best.gain:
+                        best = _Step(self, gain, expert, rank, evicted)
+        return best
+
+    def _evictions(self, rank, replicas):
+        """Return what a rank may give up for one more expert; None for nothing."""
+        held = self.ranks[rank]
+        if len(held) < self._layout.place_count:
+            return [None]
+        spare = [expert for expert in held if replicas[expert] > 1]
+        spare.sort(key=lambda expert: self._loads[expert])
+        return spare[:EVICTION_CANDIDATES]
+
+    def _after(self, by_rank, replicas, expert, rank, evicted):
+        after = list(by_rank)
+        load, count = self._loads[expert], replicas[expert]
+        for holder, experts in enumerate(self.ranks):
+            if expert in experts:
+                after[holder] -= load / count - load / (count + 1)
+        after[rank] += load / (count + 1)
+        if evicted is not None:
+            load, count = self._loads[evicted], replicas[evicted]
+            for holder, experts in enumerate(self.ranks):
+                if evicted in experts:
+                    after[holder] += load / (count - 1) - load / count
+            after[rank] -= load / (count - 1)
+        return after
+
+
+def _norm(by_rank):
+    return sum(load**NORM for load in by_rank) ** (1 / NORM)
--- /dev/null
+++ b/siskinthread/group_maps/_settings.py
@@ -0,0 +1,103 @@
+"""Settings of the control of expert maps."""
+
+from siskinthread.settings import Item, Section
+
+
+class GroupMapSettings(Section):
+    """When and how far the expert map of a group is changed."""
+
+    observe_interval_s = Item(
+        float,
+        default=1.0,
+        minimum=0.05,
+        description="Time between two looks at the demand for experts. Each look is "
+        "paid for, and the group pauses 0.5 ms for 400 counts.",
+    )
+    sample_rank_count = Item(
+        int,
+        default=2,
+        minimum=1,
+        description="Ranks whose counts are read at a look; requests are spread "
+        "evenly over ranks, so that a few stand for all.",
+    )
+    newest_weight = Item(
+        float,
+        default=0.8,
+        minimum=0.01,
+        description="Weight of the newest look in the estimate of the demand, which "
+        "shifts every 3 to 4 s.",
+    )
+    copies_limit = Item(
+        int,
+        default=3,
+        minimum=1,
+        description="Most experts that one change copies to a rank. Trials on a calm "
+        "day earned 0.83, 0.93, 0.95 and 0.93 of the worth with 1, 2, 3 and 4.",
+    )
+    least_step_gain = Item(
+        float,
+        default=0.01,
+        minimum=0.0,
+        description="Least relief of a set, relative to its mean load, for which one "
+        "expert is copied.",
+    )
+    least_gain = Item(
+        float,
+        default=0.03,
+        minimum=0.0,
+        description="Least part of the time of a pass for which a map is changed; "
+        "copying makes passes 15 in 100 longer while it lasts.",
+    )
+    order_wait_s = Item(
+        float,
+        default=0.1,
+        minimum=0.01,
+        description="Longest wait for the answer to an order until it is sent again. "
+        "Hosts are less than 15 ms apart.",
+    )
+    order_tries = Item(
+        int,
+        default=12,
+        minimum=1,
+        description="How often an order is sent at most. With half of the answers "
+        "lost, 12 fail together once in 4,000.",
+    )
+    passes_ahead = Item(
+        int,
+        default=3,
+        minimum=1,
+        description="Passes between the last known one and the one that a change is "
+        "put in force with, so that all ranks are told before.",
+    )
+    stuck_limit_s = Item(
+        float,
+        default=2.0,
+        minimum=0.0,
+        description="How long a group may be held by a change until its controller is "
+        "taken for gone and the change is finished or undone.",
+    )
+    prepare_margin_s = Item(
+        float,
+        default=1.5,
+        minimum=0.0,
+        description="How much longer than reckoned the copies of a change may take "
+        "until it is given up.",
+    )
+    failure_wait_s = Item(
+        float,
+        default=0.5,
+        minimum=0.0,
+        description="Wait after a look or a change that failed.",
+    )
+    renew_interval_s = Item(
+        float,
+        default=1.0,
+        minimum=0.05,
+        description="Time between two renewals of the shares of groups.",
+    )
+    share_lapse_s = Item(
+        float,
+        default=3.0,
+        minimum=0.1,
+        description="Time without a renewal after which shares pass to others.",
+    )
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -9,6 +9,12 @@
 
 from siskinthread.errors import SettingsError
 from siskinthread.gateway import Gateway, GatewaySettings
+from siskinthread.group_maps import (
+    GroupDirectory,
+    GroupDuty,
+    GroupMapSettings,
+    MapMeasures,
+)
 from siskinthread.observability import (
     LoggingSettings,
     Metrics,
@@ -19,6 +25,8 @@
     read_host_settings,
     SETTINGS_VARIABLE,
 )
+from siskinthread.platform._rank_client import RankClient
+from siskinthread.platform._shares import StoreShares
 from siskinthread.platform._sources import ListedTargets, PublishedTables
 from siskinthread.platform._store import StoreClient
 from siskinthread.platform._wire import PlatformWire
@@ -31,6 +39,7 @@
 # The store answers in 4 ms; slow by a factor of 60 it takes 0.25 s.
 STORE_ANSWER_WAIT_S = 0.8
 SETTINGS_INTERVAL_S = 2.0
+GROUPS_INTERVAL_S = 1.0
 
 _logger = part_logger("platform")
 
@@ -46,7 +55,15 @@
         What it holds.
     """
 
-    __slots__ = ("_gateway", "_path", "_settings", "_text")
+    __slots__ = (
+        "_directory",
+        "_duty",
+        "_gateway",
+        "_path",
+        "_rank_calls",
+        "_settings",
+        "_text",
+    )
 
     def __init__(self, path, text):
         self._path = path
@@ -67,6 +84,25 @@
             metrics,
             random.Random(),
         )
+        self._rank_calls = metrics.counter(
+            "platform_rank_calls", "Calls to ranks of model groups.", ("call",)
+        )
+        group_settings = GroupMapSettings()
+        self._directory = GroupDirectory(self._build_rank_client, group_settings)
+        self._gateway.parts.choice.group_of = self._directory.group_of
+        self._duty = GroupDuty(
+            self._directory,
+            StoreShares(
+                store,
+                self._settings.host,
+                self._settings.share_count,
+                group_settings.share_lapse_s,
+            ),
+            self._find_layout,
+            group_settings,
+            SYSTEM_CLOCK,
+            MapMeasures(metrics),
+        )
 
     async def run(self):
         """Run until SIGTERM and the drain after it."""
@@ -82,6 +118,8 @@
         tasks["callers"] = self._serve_callers
         tasks["status"] = self._serve_status
         tasks["settings"] = self._watch_settings
+        tasks["groups"] = self._learn_groups
+        tasks["maps"] = self._duty.run
         await run_until_stopped(tasks, self._drain, self._reload)
         _logger.event("stopped", host=settings.host)
 
@@ -92,6 +130,29 @@
         address = self._settings.status_listen
         await self._gateway.serve_status(_listen(address), READY_PATH, METRICS_PATH)
 
+    async def _learn_groups(self):
+        """Keep track of which targets are ranks of which groups."""
+        while True:
+            entries = self._gateway.parts.targets.entries()
+            ranks = [entry for entry in entries if self._layout(entry) is not None]
+            await self._directory.refresh(ranks)
+            await curio.sleep(GROUPS_INTERVAL_S)
+
+    def _build_rank_client(self, entry):
+        return RankClient(entry, self._layout(entry), self._rank_calls)
+
+    def _find_layout(self, instance_id):
+        for entry in self._gateway.parts.targets.entries():
+            if entry.instance_id == instance_id:
+                return self._layout(entry)
+        return None
+
+    def _layout(self, entry):
+        table = self._gateway.view.table
+        if table is None or entry.service_name not in table.services:
+            return None
+        return table.services[entry.service_name].experts
+
     async def _drain(self):
         limit_s = self._settings.stop_limit_s
         deadline = Deadline.after(SYSTEM_CLOCK, limit_s - 0.4)
--- a/siskinthread/platform/_host_settings.py
+++ b/siskinthread/platform/_host_settings.py
@@ -27,6 +27,8 @@
         First and last port for the system's own use.
     store : siskinthread.settings.Address
         The platform's store.
+    share_count : int
+        Partitions of each topic of the store.
     stop_limit_s : float
         Time from SIGTERM until the process is killed, seconds.
     """
@@ -37,6 +39,7 @@
         "failure_domain",
         "host",
         "peer_ports",
+        "share_count",
         "status_listen",
         "stop_limit_s",
         "store",
@@ -51,6 +54,7 @@
         status_listen,
         peer_ports,
         store,
+        share_count,
         stop_limit_s,
     ):
         self.host = host
@@ -60,6 +64,7 @@
         self.status_listen = status_listen
         self.peer_ports = peer_ports
         self.store = store
+        self.share_count = share_count
         self.stop_limit_s = stop_limit_s
 
 
@@ -93,6 +98,7 @@
         status_listen=reading.address("listen.ready", required=False),
         peer_ports=tuple(ports or ()),
         store=reading.address("platform.address"),
+        share_count=reading.value("platform.parts", int),
         stop_limit_s=reading.value("bounds.grace_s", int, float),
     )
     if reading.problems:
--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -4,15 +4,16 @@
 from siskinthread.gateway import (
     Account,
     CallerLimits,
-    ExpertLayout,
     RequestKind,
     Route,
     RouteTable,
     Service,
     ServiceShare,
 )
+from siskinthread.group_maps import ExpertLayout
 
 MILLISECONDS_PER_SECOND = 1000
+BITS_PER_BYTE = 8
 STREAMING = "streaming"
 SAFE = "safe"
 
@@ -99,6 +100,9 @@
         int(engine["experts"]),
         int(engine["places"]),
         int(engine["spare"]),
+        float(engine["expert_share"]),
+        engine["expert_mb"] * BITS_PER_BYTE / engine["link_mbps"],
+        engine["report_lag_ms"] / MILLISECONDS_PER_SECOND,
     )
 
 
--- /dev/null
+++ b/siskinthread/platform/_rank_client.py
@@ -0,0 +1,194 @@
+"""A model server as a rank of a group: its reports, counts and orders."""
+
+import json
+from functools import singledispatch
+
+from siskinthread.errors import PlatformUnavailableError, TargetError
+from siskinthread.group_maps import (
+    Arm,
+    ArmedMap,
+    Disarm,
+    HeldExperts,
+    Hold,
+    OrderResult,
+    Prepare,
+    RankCounts,
+    RankReport,
+    Release,
+)
+from siskinthread.settings import Address
+from siskinthread.shared_services import HttpClient
+
+REPORT_PATH = "/siskinthread/report"
+COUNTS_PATH = "/siskinthread/picked"
+LISTS_PATH = "/siskinthread/picked?lists=1"
+ORDER_PATH = "/siskinthread/order"
+JSON_HEADER = ("content-type", "application/json")
+TAKEN_STATUSES = (200, 202)
+STATUS_OK = 200
+# 400 no such order, 409 does not fit, 412 outdated, 421 another server.
+REFUSED_STATUSES = (400, 409, 412, 421)
+
+
+class RankClient:
+    """Speaks to one model server.
+
+    Parameters
+    ----------
+    entry : siskinthread.gateway.TargetEntry
+        The server.
+    layout : siskinthread.group_maps.ExpertLayout
+        Shape of the maps.
+    call_count : prometheus_client.Counter
+        Counts calls by ``call``; each of them is paid for.
+    """
+
+    __slots__ = ("_call_count", "_http", "_layout")
+
+    def __init__(self, entry, layout, call_count):
+        address = Address(entry.host, entry.port)
+        self._http = HttpClient("rank", address, None)
+        self._layout = layout
+        self._call_count = call_count
+
+    async def report(self, wait_s):
+        """Return the `RankReport`.
+
+        Raises
+        ------
+        TargetError
+            If there was no readable answer in time, or the server is no rank.
+        """
+        return self._read(_read_report, await self._get(REPORT_PATH, wait_s))
+
+    async def counts(self, wait_s):
+        """Return the `RankCounts`; raises like `report`."""
+        document = await self._get(COUNTS_PATH, wait_s)
+        return self._read(_read_counts, document)
+
+    async def held_experts(self, wait_s):
+        """Return the `HeldExperts`; raises like `report`."""
+        return self._read(_read_held, await self._get(LISTS_PATH, wait_s))
+
+    async def order(self, order, wait_s):
+        """Give an order once; return its `OrderResult`."""
+        body = json.dumps(_order_document(order)).encode()
+        self._call_count.labels("order").inc()
+        try:
+            answer = await self._http.call(
+                "POST", ORDER_PATH, body, [JSON_HEADER], wait_s
+            )
+        except PlatformUnavailableError:
+            return OrderResult.UNKNOWN
+        if answer.status in TAKEN_STATUSES:
+            return OrderResult.TAKEN
+        if answer.status in REFUSED_STATUSES:
+            return OrderResult.REFUSED
+        return OrderResult.UNKNOWN
+
+    async def _get(self, path, wait_s):
+        self._call_count.labels(path.partition("?")[0].rpartition("/")[2]).inc()
+        try:
+            answer = await self._http.call("GET", path, b"", [], wait_s)
+        except PlatformUnavailableError as error:
+            raise TargetError(str(error)) from error
+        if answer.status != STATUS_OK:
+            raise TargetError(f"{path} was answered with status {answer.status}")
+        try:
+            return json.loads(answer.body)
+        except ValueError as error:
+            raise TargetError(f"{path}: answer is no JSON") from error
+
+    def _read(self, read, document):
+        try:
+            return read(document, self._layout)
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise TargetError(f"unreadable answer: {error!r}") from error
+
+
+def _read_report(document, layout):
+    group = document["group"]
+    prepared = document.get("prepared")
+    return RankReport(
+        group_name=group["name"],
+        epoch=int(group["epoch"]),
+        rank=int(group["rank"]),
+        size=int(document["size"]),
+        is_open=group["state"] == "open",
+        # "step" counts passes of the group, not the token steps within one.
+        pass_number=int(document["step"]),
+        map_version=int(document["map"]),
+        prepared_version=None if prepared is None else int(prepared),
+        armed=_read_armed(document.get("armed")),
+        held_pass=document.get("held"),
+    )
+
+
+def _read_armed(armed):
+    if armed is None:
+        return None
+    if isinstance(armed, dict):
+        return ArmedMap(int(armed["version"]), armed.get("step"))
+    return ArmedMap(int(armed), None)
+
+
+def _read_counts(document, layout):
+    counts = document["counts"]
+    if len(counts) != layout.set_count * layout.expert_count:
+        raise ValueError(f"{len(counts)} counts")
+    # One flat list, set after set.
+    by_set = [
+        counts[start : start + layout.expert_count]
+        for start in range(0, len(counts), layout.expert_count)
+    ]
+    return RankCounts(int(document["epoch"]), int(document["step"]), by_set)
+
+
+def _read_held(document, layout):
+    held = document["map"]
+    experts_by_set = [tuple(experts) for experts in held["experts"]]
+    if len(experts_by_set) != layout.set_count:
+        raise ValueError(f"{len(experts_by_set)} sets")
+    return HeldExperts(int(document["epoch"]), int(held["version"]), experts_by_set)
+
+
+@singledispatch
+def _order_document(order):
+    """Return the fields of an order."""
+    raise TypeError(f"no order: {order!r}")
+
+
+@_order_document.register
+def _(order: Prepare):
+    holdings = order.group_map.holdings
+    return {
+        "operation": "prepare",
+        "epoch": order.epoch,
+        "version": order.group_map.version,
+        "map": [[list(experts) for experts in ranks] for ranks in holdings],
+    }
+
+
+@_order_document.register
+def _(order: Arm):
+    return {
+        "operation": "arm",
+        "epoch": order.epoch,
+        "version": order.version,
+        "step": order.pass_number,
+    }
+
+
+@_order_document.register
+def _(order: Disarm):
+    return {"operation": "disarm", "epoch": order.epoch, "version": order.version}
+
+
+@_order_document.register
+def _(order: Hold):
+    return {"operation": "hold", "epoch": order.epoch, "step": order.pass_number}
+
+
+@_order_document.register
+def _(order: Release):
+    return {"operation": "go", "epoch": order.epoch, "step": order.pass_number}
--- /dev/null
+++ b/siskinthread/platform/_shares.py
@@ -0,0 +1,45 @@
+"""Shares of the groups, dealt out by the platform's store."""
+
+from siskinthread.group_maps import Shares
+
+TOPIC = "group-shares"
+MEMBER_GROUP = "controllers"
+
+
+class StoreShares:
+    """Membership that the store deals its partitions out to.
+
+    Parameters
+    ----------
+    store : StoreClient
+        The store.
+    member : str
+        Name of this process.
+    share_count : int
+        Partitions of a topic.
+    lapse_s : float
+        Time without a renewal after which the partitions pass to others, seconds.
+    """
+
+    __slots__ = ("_generation", "_lapse_s", "_member", "_share_count", "_store")
+
+    def __init__(self, store, member, share_count, lapse_s):
+        self._store = store
+        self._member = member
+        self._share_count = share_count
+        self._lapse_s = lapse_s
+        self._generation = 0
+
+    async def renew(self):
+        """Return the `Shares` held from now on for the lapse time.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no readable answer came in time.
+        """
+        joined = await self._store.join(
+            MEMBER_GROUP, self._member, TOPIC, self._lapse_s, self._generation
+        )
+        self._generation = joined.generation
+        return Shares(set(joined.partitions), self._share_count)
--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store, which is a log of records by topic."""
 
 import base64
+import json
 from urllib.parse import quote
 
 from siskinthread.errors import (
@@ -17,6 +18,7 @@
 ONLY_PARTITION = 0
 OFFSET_BYTES = 8
 LENGTH_BYTES = 4
+JSON_HEADER = ("content-type", "application/json")
 
 
 class KeyedRecord:
@@ -37,6 +39,24 @@
         self.value = value
 
 
+class Joined:
+    """What a member of a group holds.
+
+    Parameters
+    ----------
+    generation : int
+        Rises with each change of the group.
+    partitions : list of int
+        Partitions that belong to the member.
+    """
+
+    __slots__ = ("generation", "partitions")
+
+    def __init__(self, generation, partitions):
+        self.generation = generation
+        self.partitions = partitions
+
+
 class StoreClient:
     """Reads topics that hold the newest value for each key.
 
@@ -93,6 +113,45 @@
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 raise _unreadable(error) from error
 
+    async def join(self, group, member, topic, lapse_s, generation):
+        """Join a group of members, or stay in it.
+
+        Parameters
+        ----------
+        group, member, topic : str
+            The group, this member, and the topic whose partitions are dealt out.
+        lapse_s : float
+            Time without a call after which the partitions pass to others, seconds.
+        generation : int
+            The last one that was received, 0 at first.
+
+        Returns
+        -------
+        Joined
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no readable answer came in time.
+        """
+        body = {
+            "group": group,
+            "member": member,
+            "topics": [topic],
+            "ttl_ms": round(lapse_s * MILLISECONDS_PER_SECOND),
+            "generation": generation,
+        }
+        self._call_count.labels("join").inc()
+        content = json.dumps(body).encode()
+        answer = await self._http.post("/siskinthread/log-join", content, [JSON_HEADER])
+        document = parse_json(SERVICE, answer)
+        try:
+            # Rows of topic, partition and committed offset.
+            partitions = [int(row[1]) for row in document["parts"]]
+            return Joined(int(document["generation"]), partitions)
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise _unreadable(error) from error
+
     async def read_changes(self, topic, position, wait_s=0.0):
         """Return the records from a position on, and the position behind them.
 
--- a/siskinthread/shared_services/_http.py
+++ b/siskinthread/shared_services/_http.py
@@ -113,7 +113,35 @@
         answer = await self._request("GET", target, b"", 0.0, headers)
         return None if answer.status == STATUS_NOT_MODIFIED else answer
 
-    async def post(self, target, body):
+    async def call(self, method, target, body, headers, wait_s):
+        """Return the `Answer` to any request, whatever its status.
+
+        Parameters
+        ----------
+        method, target : str
+            Request line.
+        body : bytes
+            Its body.
+        headers : list of tuple of str
+            Further headers.
+        wait_s : float
+            Longest wait for the answer.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no whole answer came in time; the request may have taken effect.
+        """
+        try:
+            return await curio.timeout_after(
+                wait_s, self._exchange, method, target, body, headers
+            )
+        except curio.TaskTimeout as error:
+            raise self._error(f"no answer to {method} in {wait_s:g} s") from error
+        except (OSError, h11.ProtocolError, EOFError) as error:
+            raise self._error(f"{method} failed: {error!r}") from error
+
+    async def post(self, target, body, headers=()):
         """Return the body of the answer to a POST, which is sent once at most.
 
         Raises
@@ -122,7 +150,9 @@
             If no whole answer with status 200 came in time; the request may have
             taken effect.
         """
-        answer = await self._request("POST", target, body, 0.0)
+        wait_s = self._answer_wait_s
+        answer = await self.call("POST", target, body, headers, wait_s)
+        self._check(answer, "POST", {STATUS_OK})
         return answer.body
 
     async def close(self):
@@ -132,19 +162,15 @@
 
     async def _request(self, method, target, body, extra_wait_s, headers=()):
         wait_s = self._answer_wait_s + extra_wait_s
-        try:
-            answer = await curio.timeout_after(
-                wait_s, self._exchange, method, target, body, headers
-            )
-        except curio.TaskTimeout as error:
-            raise self._error(f"no answer to {method} in {wait_s:g} s") from error
-        except (OSError, h11.ProtocolError, EOFError) as error:
-            raise self._error(f"{method} failed: {error!r}") from error
+        answer = await self.call(method, target, body, headers, wait_s)
         expected = {STATUS_OK, STATUS_NOT_MODIFIED} if headers else {STATUS_OK}
+        self._check(answer, method, expected)
+        return answer
+
+    def _check(self, answer, method, expected):
         if answer.status not in expected:
             text = f"{method} was answered with status {answer.status}"
             raise PlatformRefusedError(self._message(text), answer.status)
-        return answer
 
     async def _exchange(self, method, target, body, headers):
         connection = await self._take_connection()
