Pass over groups as a whole, and don't end streams for silence

Streams whose group paused over 0.9 s were cut to be continued elsewhere, and the next target declined. Besides, after a rank failed, all ranks of its group decline, and second attempts went to the same group.

Change: a stream ends only with its connection or its deadline; groups are passed over for 0.8 s after a decline that names another rank; second attempts go to another group first; with no target trusted, callers are asked to come back after 0.32 of the time they have left.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -2,9 +2,8 @@
 
 import enum
 
-from siskinthread.errors import ConnectionLostError, TargetError, TargetSilentError
+from siskinthread.errors import ConnectionLostError, TargetError
 from siskinthread.gateway._event_stream import EVENT_STREAM_TYPE, EventSplitter
-from siskinthread.timing import Deadline
 
 STATUS_OK = 200
 FIRST_SERVER_ERROR = 500
@@ -72,6 +71,8 @@
         What failed, for the log.
     written : bool
         Whether a byte of the request was sent.
+    is_group_fault : bool
+        Whether another rank of the target's group is what failed.
     """
 
     __slots__ = (
@@ -81,6 +82,7 @@
         "_request",
         "answer",
         "entry",
+        "is_group_fault",
         "reason",
         "result",
         "written",
@@ -96,6 +98,7 @@
         self.answer = None
         self.reason = ""
         self.written = False
+        self.is_group_fault = False
 
     async def run(self):
         """Send the request and take its answer; sets `result`."""
@@ -168,6 +171,7 @@
         if facts.is_other_instance:
             self.reason = "another instance listens there"
             self._parts.targets.note_leaving(self.entry.instance_id, "its successor")
+        self.is_group_fault = facts.is_group_fault
         # What is known already does not depend on the rest of the answer.
         self.result = AttemptResult.DECLINED
         while await self._connection.receive_data(self._request.deadline) is not None:
@@ -210,7 +214,7 @@
         """Pass on the events of a stream as they come, each of them whole."""
         splitter = EventSplitter()
         while True:
-            data = await self._receive_events()
+            data = await self._connection.receive_data(self._request.deadline)
             if data is None:
                 break
             events = splitter.take(data)
@@ -243,26 +247,6 @@
             return True
         return events.first_id == last_id + 1
 
-    async def _receive_events(self):
-        """Return the next bytes of a stream; moves on from a target that pauses.
-
-        Raises
-        ------
-        TargetSilentError
-            If the target paused for too long, and another one may continue.
-        """
-        deadline = self._request.deadline
-        if not self._reply.has_begun:
-            return await self._connection.receive_data(deadline)
-        limit_s = self._parts.settings.pause_limit_s
-        pause_limit = Deadline.after(self._parts.clock, min(limit_s, deadline.left_s()))
-        try:
-            return await self._connection.receive_data(pause_limit)
-        except TargetSilentError:
-            if deadline.passed() or self._reply.may_continue_elsewhere():
-                raise
-        return await self._connection.receive_data(deadline)
-
 
 def _is_event_stream(head):
     if head.status != STATUS_OK:
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -45,7 +45,6 @@
         self._attempts = []
         self._sent_count = 0
         self._tried_ids = set()
-        reply.may_continue_elsewhere = self._may_continue_elsewhere
 
     async def run(self):
         """Answer the request.
@@ -88,6 +87,8 @@
         if attempt.result is not AttemptResult.UNREACHABLE:
             self._sent_count += 1
         self._parts.measures.attempt_ended(attempt.result)
+        if attempt.is_group_fault:
+            self._parts.health.group_failed(self._parts.choice.group_of(instance_id))
         if attempt.result is AttemptResult.ANSWERED:
             self._parts.health.succeeded(instance_id)
         elif attempt.result is not AttemptResult.DECLINED and not is_late:
@@ -106,14 +107,6 @@
             return False
         return self._parts.budget.try_spend()
 
-    def _may_continue_elsewhere(self):
-        if not self._request.kind.is_repeatable:
-            return False
-        if self._sent_count + 1 >= self._request.route.attempt_limit:
-            return False
-        tried = self._tried_ids | {self._attempts[-1].entry.instance_id}
-        return not isinstance(self._parts.choice.choose(self._request, tried), End)
-
     async def _answer(self, attempt):
         if attempt.answer is not None:
             await self._reply.whole(attempt.answer)
--- a/siskinthread/gateway/_reply.py
+++ b/siskinthread/gateway/_reply.py
@@ -32,8 +32,6 @@
         Whether the caller has the whole answer.
     last_event_id : int or None
         Id of the last event that the caller has.
-    may_continue_elsewhere : callable
-        Tells whether another target may continue a stream now.
     """
 
     __slots__ = (
@@ -43,7 +41,6 @@
         "has_begun",
         "has_ended",
         "last_event_id",
-        "may_continue_elsewhere",
         "status",
     )
 
@@ -55,7 +52,6 @@
         self.has_ended = False
         self.status = None
         self.last_event_id = request.facts.last_event_id
-        self.may_continue_elsewhere = lambda: False
 
     async def begin(self, head):
         """Write the head of an answer whose body follows in parts."""
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -128,6 +128,8 @@
         Whether the target says that it did not and will not run the request.
     is_other_instance : bool
         Whether another target than the expected one listens at the address.
+    is_group_fault : bool
+        Whether the target declines since another rank of its group has failed.
     load : LoadReport or None
         The target's load.
     rest_limit_s : float or None
@@ -138,6 +140,7 @@
 
     __slots__ = (
         "closes",
+        "is_group_fault",
         "is_other_instance",
         "load",
         "not_run",
@@ -146,11 +149,19 @@
     )
 
     def __init__(
-        self, request_id, not_run, is_other_instance, load, rest_limit_s, closes
+        self,
+        request_id,
+        not_run,
+        is_other_instance,
+        is_group_fault,
+        load,
+        rest_limit_s,
+        closes,
     ):
         self.request_id = request_id
         self.not_run = not_run
         self.is_other_instance = is_other_instance
+        self.is_group_fault = is_group_fault
         self.load = load
         self.rest_limit_s = rest_limit_s
         self.closes = closes
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -120,14 +120,6 @@
         "probe, on a connection to a target. More than one retransmission at 200 ms "
         "to 400 ms, less than the 2 s after which callers leave a silent stream.",
     )
-    pause_limit_s = Item(
-        float,
-        default=0.9,
-        minimum=0.0,
-        description="Longest pause between two events of a stream until another target "
-        "continues it. Engine groups that stall do so for 1.5 s and then cut all of "
-        "their streams off, callers leave after 2 s.",
-    )
     whole_answer_limit_bytes = Item(
         int,
         default=262_144,
@@ -213,6 +205,21 @@
         description="Longest time that a failing target is passed over; the length of "
         "the common short outages.",
     )
+    group_ejection_s = Item(
+        float,
+        default=0.8,
+        minimum=0.0,
+        description="How long a group is passed over after one of its ranks has said "
+        "that another one failed. Groups form anew within 0.6 s.",
+    )
+    outage_retry_after_share = Item(
+        float,
+        default=0.32,
+        minimum=0.0,
+        description="Part of the time left after which a caller should come back if "
+        "every target of the service fails. Callers wait for a third at most, and an "
+        "outage that has just begun lasts longer than that.",
+    )
     source_retry_s = Item(
         float,
         default=0.5,
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -65,14 +65,19 @@
         fresh = [entry for entry in serving if entry.instance_id not in tried_ids]
         if not fresh:
             return self._refusal(Reason.NO_TARGET, request, "No target can take it.")
-        # If all of them fail, one of them is still a better try than none.
-        trusted = [
+        trusted = [entry for entry in fresh if self._is_trusted(entry)]
+        tried_groups = {self.group_of(one) for one in tried_ids} - {None}
+        # What has just failed in one rank of a group fails in all of them.
+        apart = [
             entry
-            for entry in fresh
-            if not self._health.is_passed_over(entry.instance_id)
+            for entry in trusted
+            if self.group_of(entry.instance_id) not in tried_groups
         ]
+        # If all of them fail, one of them is still a better try than none.
         group_loads = self._group_loads(serving)
-        chosen = min(trusted or fresh, key=lambda entry: self._rank(entry, group_loads))
+        chosen = min(
+            apart or trusted or fresh, key=lambda entry: self._rank(entry, group_loads)
+        )
         if self._load(chosen) >= 1 + self._settings.waiting_per_slot:
             message = "Every target has as many requests as it can serve in time."
             return self._refusal(Reason.OVERLOADED, request, message)
@@ -86,8 +91,17 @@
         Spread over a range, so that callers refused together don't return together;
         within a third of the time that the caller has left, or it would not come.
         """
+        left_s = request.deadline.left_s()
+        serving = self._targets.serving(request.service_name)
+        if not any(self._is_trusted(entry) for entry in serving):
+            return left_s * self._settings.outage_retry_after_share
         spread = 0.6 + 0.8 * self._random.random()
-        return min(self._settings.retry_after_s * spread, request.deadline.left_s() / 4)
+        return min(self._settings.retry_after_s * spread, left_s / 4)
+
+    def _is_trusted(self, entry):
+        if self._health.is_passed_over(entry.instance_id):
+            return False
+        return not self._health.is_group_passed_over(self.group_of(entry.instance_id))
 
     def _group_loads(self, serving):
         """Return the mean load of the targets of each group."""
--- a/siskinthread/gateway/_target_health.py
+++ b/siskinthread/gateway/_target_health.py
@@ -33,12 +33,13 @@
     being sent to it: it looks idle, because it fails fast.
     """
 
-    __slots__ = ("_clock", "_failures", "_settings")
+    __slots__ = ("_clock", "_failures", "_groups", "_settings")
 
     def __init__(self, settings, clock):
         self._settings = settings
         self._clock = clock
         self._failures = {}
+        self._groups = {}
 
     def succeeded(self, instance_id):
         """Note a whole answer."""
@@ -68,6 +69,23 @@
             wait_s=wait_s,
         )
 
+    def group_failed(self, group):
+        """Note that the ranks of a group decline because one of them failed.
+
+        Their group forms anew only when that rank is back; until then each of them
+        declines, and every request sent there would have used up an attempt.
+        """
+        if group is None or self.is_group_passed_over(group):
+            return
+        wait_s = self._settings.group_ejection_s
+        self._groups[group] = Deadline.after(self._clock, wait_s)
+        _logger.event("group passed over", group=group, wait_s=wait_s)
+
+    def is_group_passed_over(self, group):
+        """Return whether the ranks of a group should get no request now."""
+        passed_over = self._groups.get(group)
+        return passed_over is not None and not passed_over.passed()
+
     def is_passed_over(self, instance_id):
         """Return whether a target should get no request now."""
         failures = self._failures.get(instance_id)
--- a/siskinthread/platform/_wire.py
+++ b/siskinthread/platform/_wire.py
@@ -15,6 +15,8 @@
 EXPECTED_INSTANCE = "x-expect-instance"
 PRIORITY = "x-request-priority"
 LOWEST_PRIORITY = 9
+# Id of the rank because of which the whole group declines.
+FAILED_RANK = "at-server"
 NOT_RUN = "x-not-executed"
 # Running, waiting, slots.
 LOAD = "x-server-load"
@@ -84,6 +86,7 @@
             values.get(REQUEST_ID),
             NOT_RUN in values or is_other_instance,
             is_other_instance,
+            FAILED_RANK in values,
             _load(values.get(LOAD)),
             _rest_limit_s(values.get("keep-alive")),
             "close" in values.get("connection", "").lower(),
