Enumerate faults of map changes over HTTP orders

5,400 runs of two ranks: any two of lost, unanswered, late, crash and pause at any two orders, with none, one or four passes between orders, with one and with three tries an order. No pass mixed, no group left standing.

--- /dev/null
+++ b/siskinthread/group_maps/tests/fake_group.py
@@ -0,0 +1,211 @@
+"""A group of ranks in memory, with faults at chosen orders."""
+
+import enum
+
+from siskinthread.errors import TargetError
+from siskinthread.group_maps import (
+    Arm,
+    ArmedMap,
+    Disarm,
+    HeldExperts,
+    Hold,
+    OrderResult,
+    Prepare,
+    RankReport,
+    Release,
+)
+
+
+class Fault(enum.Enum):
+    """What may happen to an order."""
+
+    # It is lost on its way.
+    LOST = "lost"
+    # It is carried out, and the answer is lost.
+    UNANSWERED = "unanswered"
+    # No answer, and it is carried out `LATE_EVENTS` orders later.
+    LATE = "late"
+    # The controller ends before the order is sent.
+    CRASH = "crash"
+    # The controller stands still before the order is sent, while another one looks
+    # after the group; then it goes on.
+    PAUSE = "pause"
+
+
+LATE_EVENTS = 5
+
+
+class ControllerCrashError(Exception):
+    """Ends a controller at a chosen order."""
+
+
+class FakeRank:
+    """State of one rank."""
+
+    def __init__(self):
+        self.version = 0
+        self.prepared = None
+        self.highest = 0
+        self.armed = None
+
+
+class FakeGroup:
+    """Ranks that carry orders out as model servers do.
+
+    Parameters
+    ----------
+    rank_count : int
+        Ranks.
+    faults : dict of int to Fault
+        Faults by the number of the order, counted over all ranks.
+    passes_an_order : int
+        Passes that the group begins, unless held, before each order.
+    """
+
+    def __init__(self, rank_count, faults=None, passes_an_order=1):
+        self.ranks = [FakeRank() for _ in range(rank_count)]
+        self.faults = faults or {}
+        self.passes_an_order = passes_an_order
+        self.epoch = 1
+        self.pass_number = 10
+        self.held_pass = None
+        self.event_count = 0
+        self.late = []
+        self.mixed_passes = []
+        self.when_paused = None
+        self.orders = []
+
+    def advance(self):
+        """Begin the next pass unless it is held."""
+        following = self.pass_number + 1
+        if self.held_pass is not None and following >= self.held_pass:
+            return
+        self.pass_number = following
+        for rank in self.ranks:
+            if rank.armed is not None and rank.armed[1] == following:
+                rank.version = rank.armed[0]
+                rank.armed = None
+        if len({rank.version for rank in self.ranks}) > 1:
+            self.mixed_passes.append(following)
+
+    async def deliver(self, number, order):
+        """Take an order, with the fault that is due; return an `OrderResult`."""
+        event = self.event_count
+        self.event_count += 1
+        fault = self.faults.get(event)
+        if fault is Fault.CRASH:
+            raise ControllerCrashError
+        if fault is Fault.PAUSE and self.when_paused is not None:
+            await self.when_paused()
+        for _ in range(self.passes_an_order):
+            self.advance()
+        self._carry_out_late()
+        if fault is Fault.LOST:
+            return OrderResult.UNKNOWN
+        if fault is Fault.LATE:
+            self.late.append((event + LATE_EVENTS, number, order))
+            return OrderResult.UNKNOWN
+        result = self.carry_out(number, order)
+        return OrderResult.UNKNOWN if fault is Fault.UNANSWERED else result
+
+    def carry_out(self, number, order):
+        """Carry an order out now; return an `OrderResult`."""
+        self.orders.append((number, order))
+        if order.epoch != self.epoch:
+            return OrderResult.REFUSED
+        taken = _CARRY_OUT[type(order)](self, number, order)
+        return OrderResult.TAKEN if taken else OrderResult.REFUSED
+
+    def _carry_out_late(self):
+        due = [one for one in self.late if one[0] <= self.event_count]
+        self.late = [one for one in self.late if one[0] > self.event_count]
+        for _, number, order in due:
+            self.carry_out(number, order)
+
+    def _prepare(self, number, order):
+        rank = self.ranks[number]
+        version = order.group_map.version
+        if rank.prepared == version:
+            return True
+        if version <= rank.highest or rank.armed is not None:
+            return False
+        rank.highest = rank.prepared = version
+        return True
+
+    def _arm(self, number, order):
+        rank = self.ranks[number]
+        if rank.armed == (order.version, order.pass_number):
+            return True
+        if rank.armed is not None or rank.prepared != order.version:
+            return False
+        if order.pass_number <= self.pass_number:
+            return False
+        rank.armed = (order.version, order.pass_number)
+        return True
+
+    def _disarm(self, number, order):
+        rank = self.ranks[number]
+        if rank.version == order.version:
+            return False
+        if rank.armed is not None and rank.armed[0] == order.version:
+            rank.armed = None
+        return True
+
+    def _hold(self, number, order):
+        if self.held_pass == order.pass_number:
+            return True
+        if self.held_pass is not None or order.pass_number <= self.pass_number:
+            return False
+        self.held_pass = order.pass_number
+        return True
+
+    def _release(self, number, order):
+        if self.held_pass == order.pass_number:
+            self.held_pass = None
+        return True
+
+
+_CARRY_OUT = {
+    Prepare: FakeGroup._prepare,
+    Arm: FakeGroup._arm,
+    Disarm: FakeGroup._disarm,
+    Hold: FakeGroup._hold,
+    Release: FakeGroup._release,
+}
+
+
+class FakeClient:
+    """One rank as a controller sees it."""
+
+    def __init__(self, group, number, holdings):
+        self._group = group
+        self._number = number
+        self._holdings = holdings
+
+    async def report(self, wait_s):
+        """Return what the rank reports; fresh, unlike that of a real one."""
+        group, rank = self._group, self._group.ranks[self._number]
+        if group.faults.get("silent") == self._number:
+            raise TargetError("silent")
+        return RankReport(
+            "g",
+            group.epoch,
+            self._number,
+            len(group.ranks),
+            True,
+            group.pass_number,
+            rank.version,
+            rank.prepared,
+            None if rank.armed is None else ArmedMap(*rank.armed),
+            group.held_pass if self._number == 0 else None,
+        )
+
+    async def held_experts(self, wait_s):
+        """Return the experts of the first map."""
+        version = self._group.ranks[self._number].version
+        mine = [ranks[self._number] for ranks in self._holdings]
+        return HeldExperts(self._group.epoch, version, mine)
+
+    async def order(self, order, wait_s):
+        """Give an order."""
+        return await self._group.deliver(self._number, order)
--- /dev/null
+++ b/siskinthread/group_maps/tests/test_change.py
@@ -0,0 +1,183 @@
+"""A change never lets a pass begin with two maps, whatever happens to its orders."""
+
+import itertools
+
+import curio
+import pytest
+
+from siskinthread.group_maps import (
+    Arm,
+    ChangeResult,
+    ExpertLayout,
+    GroupMap,
+    GroupMapSettings,
+    GroupRanks,
+    Hold,
+    MapChange,
+    OrderResult,
+    Prepare,
+)
+from siskinthread.group_maps.tests.fake_group import (
+    ControllerCrashError,
+    FakeClient,
+    FakeGroup,
+    Fault,
+)
+from siskinthread.timing import SYSTEM_CLOCK
+
+RANKS = 2
+FIRST = [[(0, 1), (2, 3)]]
+SECOND = [[(0, 1, 2), (2, 3)]]
+LAYOUT = ExpertLayout(1, 4, 3, 1, 0.85, copy_s=0.0, report_lag_s=0.0)
+SETTINGS = GroupMapSettings(order_tries=3, prepare_margin_s=0.01)
+# With one try, a single fault leaves an order without any answer.
+ONE_TRY = GroupMapSettings(order_tries=1, prepare_margin_s=0.01)
+# Prepare, hold, arm and release, each with room for a repeat.
+ORDERS_OF_A_CHANGE = 9
+RECOVERY_LIMIT = 30
+
+
+def change_of(group, settings=SETTINGS):
+    """Return a `MapChange` of a fake group, as one more controller would have it."""
+    clients = [FakeClient(group, number, FIRST) for number in range(len(group.ranks))]
+    return MapChange(GroupRanks(clients, settings), LAYOUT, settings, SYSTEM_CLOCK)
+
+
+def is_crash(error):
+    """Return whether an error, or what it came from, is a planned crash."""
+    while isinstance(error, curio.TaskError):
+        error = error.__cause__
+    return isinstance(error, ControllerCrashError)
+
+
+async def recover(group):
+    """Look after a group as the next controller does, until nothing is left."""
+    change = change_of(group)
+    for _ in range(RECOVERY_LIMIT):
+        if await change.finish_or_undo(GroupMap(0, FIRST, 4)):
+            return
+        group.advance()
+    raise AssertionError("the group stays held")
+
+
+async def play(group, settings=SETTINGS):
+    """Change the map once, recover as needed, and let the group run on."""
+    group.when_paused = lambda: recover(group)
+    try:
+        result = await change_of(group, settings).run(
+            1, GroupMap(0, FIRST, 4), GroupMap(1, SECOND, 4), pass_s=0.05
+        )
+    except (ControllerCrashError, curio.TaskError) as error:
+        if not is_crash(error):
+            raise
+        result = None
+    group.faults = {}
+    if result is not ChangeResult.IN_FORCE:
+        await recover(group)
+    before = group.pass_number
+    for _ in range(20):
+        group.advance()
+    group._carry_out_late()
+    for late in group.late:
+        group.carry_out(*late[1:])
+    if group.held_pass is not None:
+        await recover(group)
+    for _ in range(20):
+        group.advance()
+    assert group.pass_number > before, "the group stands"
+    return result
+
+
+def test_change_comes_into_force():
+    """All ranks run the new map, each from the same pass on."""
+    group = FakeGroup(RANKS)
+    assert curio.run(play, group) is ChangeResult.IN_FORCE
+    assert [rank.version for rank in group.ranks] == [1, 1]
+    assert not group.mixed_passes
+
+
+def test_group_is_not_held_while_it_copies():
+    """The hold follows the copies, so that a slow copy makes nobody wait."""
+    group = FakeGroup(RANKS, passes_an_order=0)
+    curio.run(play, group)
+    kinds = [type(order).__name__ for _, order in group.orders]
+    assert kinds[:RANKS] == ["Prepare"] * RANKS
+    assert kinds[RANKS] == "Hold"
+    assert kinds[-1] == "Release"
+
+
+@pytest.mark.parametrize("passes_an_order", [0, 1, 4])
+@pytest.mark.parametrize("settings", [SETTINGS, ONE_TRY])
+def test_no_pass_is_mixed_under_any_two_faults(passes_an_order, settings):
+    """Symptom: ranks of a group compute one pass with different maps.
+
+    Events: any two orders of a change are lost, unanswered, carried out late, or the
+    controller ends or stands still before them, while the group begins none, one or
+    four passes between orders.  Cause to be ruled out: a pass begins when some ranks
+    are armed and others are not.
+    """
+    runs = 0
+    for first, second in itertools.combinations(range(ORDERS_OF_A_CHANGE), 2):
+        for faults in itertools.product(Fault, repeat=2):
+            group = FakeGroup(
+                RANKS, dict(zip((first, second), faults, strict=True)), passes_an_order
+            )
+            curio.run(play, group, settings)
+            assert not group.mixed_passes, (first, second, faults)
+            runs += 1
+    assert runs == 36 * 25
+
+
+def test_left_change_is_finished():
+    """Symptom: a group stands for good.
+
+    Events: a controller ends after the hold and one of two arms.  Cause: nobody
+    releases the pass.  The next controller arms the other rank and releases it.
+    """
+    group = FakeGroup(RANKS, {4: Fault.CRASH})
+    curio.run(play, group)
+    assert [rank.version for rank in group.ranks] == [1, 1]
+
+
+def test_nothing_armed_is_released_with_late_arms_ruled_out():
+    """Symptom: a pass is mixed although it was released with no rank armed.
+
+    Events: a controller stands still after its hold, another one releases the pass,
+    the first goes on and arms one rank just before the pass and one after it.  Cause:
+    its version was still prepared.
+    """
+    group = FakeGroup(RANKS, passes_an_order=0)
+    second = GroupMap(1, SECOND, 4)
+    held_pass = group.pass_number + 2
+    for number in range(RANKS):
+        group.carry_out(number, Prepare(1, second))
+    group.carry_out(0, Hold(1, held_pass))
+    curio.run(recover, group)
+    early = group.carry_out(0, Arm(1, 1, held_pass))
+    for _ in range(5):
+        group.advance()
+    late = group.carry_out(1, Arm(1, 1, held_pass))
+    assert (early, late) == (OrderResult.REFUSED, OrderResult.REFUSED)
+    assert group.pass_number > held_pass
+    assert not group.mixed_passes
+
+
+def test_rank_that_does_not_report_holds_the_change_back():
+    """No pass is held for a change that some rank may not have prepared."""
+    group = FakeGroup(RANKS, {"silent": 1})
+    clients_result = curio.run(
+        change_of(group).run, 1, GroupMap(0, FIRST, 4), GroupMap(1, SECOND, 4), 0.05
+    )
+    assert clients_result is ChangeResult.NOT_BEGUN
+    assert group.held_pass is None
+
+
+def test_another_epoch_refuses_the_change():
+    """A group that formed anew since the plan keeps its map."""
+    group = FakeGroup(RANKS)
+    group.epoch = 2
+    result = curio.run(
+        change_of(group).run, 1, GroupMap(0, FIRST, 4), GroupMap(1, SECOND, 4), 0.05
+    )
+    assert result is ChangeResult.NOT_BEGUN
+    assert [rank.version for rank in group.ranks] == [0, 0]
