--- /dev/null
+++ b/siskinthread/platform/tests/system.py
@@ -0,0 +1,258 @@
+"""A gateway with its store and servers in one process, and a raw caller."""
+
+import itertools
+import random
+from contextlib import asynccontextmanager, AsyncExitStack
+
+import curio
+from curio import socket
+
+from siskinthread.gateway import Gateway, GatewaySettings
+from siskinthread.observability import Metrics
+from siskinthread.platform._sources import ListedTargets, PublishedTables
+from siskinthread.platform._store import StoreClient
+from siskinthread.platform._wire import PlatformWire
+from siskinthread.settings import Address
+from siskinthread.timing import SYSTEM_CLOCK
+from standins._http_server import HttpServer
+from standins.platform_server import PlatformServerStandin
+from standins.platform_store import PlatformStoreStandin
+
+KEY = "n2ctnfzs989anu6wsjnb"
+HOST = "ficu95.example"
+HANG_S = 20.0
+READ_SIZE_BYTES = 65_536
+STREAM_PATH = "/stream/2f"
+ONCE_PATH = "/once/2f"
+SAFE_PATH = "/safe/2f"
+
+
+def route(path_prefix, kind, **fields):
+    """Return a route as operators write it."""
+    values = {
+        "name": f"r-{path_prefix.strip('/') or 'root'}",
+        "host": HOST,
+        "path_prefix": path_prefix,
+        "kind": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": "app",
+        "attempts": 2,
+        "public": False,
+    }
+    return values | fields
+
+
+def published(version=1, routes=None, keys=(KEY,), **fields):
+    """Return a configuration as operators write it."""
+    if routes is None:
+        routes = [
+            route("/stream/", "streaming", resumable=True, target_gap_ms=120),
+            route("/once/", "unsafe", attempts=1),
+            route("/safe/", "safe"),
+            route("/public/", "safe", public=True),
+            route("/brief/", "safe", timeout_ms=150),
+        ]
+    values = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "app", "health_path": "/health", "max_conns": 100}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 65536,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "hule930", "api_keys": list(keys), "priority": 1}],
+    }
+    return values | fields
+
+
+def listed(server, **fields):
+    """Return a server's entry in the store."""
+    values = {
+        "service": "app",
+        "address": f"{server.host}:{server.port}",
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+    }
+    return values | fields
+
+
+class System:
+    """The parts of a running system."""
+
+    def __init__(self, settings):
+        self.store = PlatformStoreStandin()
+        self.servers = []
+        self.settings = GatewaySettings(**settings)
+        self.gateway = None
+        self.address = None
+        self.status_address = None
+        self.store_address = None
+        self._numbers = itertools.count(1)
+
+    async def list_servers(self):
+        """Write the entry of each server."""
+        for server in self.servers:
+            await self.store.put("keyed.servers", server.instance_id, listed(server))
+
+    async def request(self, path, method="POST", body=b"x", headers=(), key=KEY):
+        """Send one request on a new connection; return the whole response."""
+        return await self.exchange(self.request_bytes(path, method, body, headers, key))
+
+    def request_bytes(self, path, method="POST", body=b"x", headers=(), key=KEY):
+        """Return a request with an id of its own."""
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", *headers]
+        if not any(one.startswith("X-Request-Id") for one in headers):
+            lines.append(f"X-Request-Id: id-{next(self._numbers)}")
+        if key is not None:
+            lines.append(f"Authorization: Token {key}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    async def exchange(self, data):
+        """Send bytes on a new connection; return all until it ends or rests."""
+        client = await self.connect()
+        try:
+            await client.sendall(data)
+            return await read_response(client)
+        finally:
+            await client.close()
+
+    async def connect(self):
+        """Return a new connection to the gateway."""
+        client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        await client.connect(self.address)
+        return client
+
+    async def ready_status(self):
+        """Return the status of the readiness page."""
+        client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        await client.connect(self.status_address)
+        await client.sendall(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        response = await read_response(client)
+        await client.close()
+        return int(response.split()[1])
+
+    def seen(self):
+        """Return every request that reached a server."""
+        return [request for server in self.servers for request in server.seen]
+
+
+async def read_response(client):
+    """Return the bytes of one response; shorter than whole if it broke off."""
+    data = b""
+    while not is_whole(data):
+        more = await client.recv(READ_SIZE_BYTES)
+        if not more:
+            break
+        data += more
+    return data
+
+
+def is_whole(data):
+    """Return whether bytes hold a whole response with a length or chunks."""
+    head, end, body = data.partition(b"\r\n\r\n")
+    if not end:
+        return False
+    lower = head.lower()
+    if b"transfer-encoding: chunked" in lower:
+        return body.endswith(b"0\r\n\r\n")
+    for line in lower.split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return len(body) >= int(line.split(b":")[1])
+    return False
+
+
+def status_of(response):
+    """Return the status of a response."""
+    return int(response.split()[1])
+
+
+def body_of(response):
+    """Return the body of a response, without the framing of chunks."""
+    head, _, body = response.partition(b"\r\n\r\n")
+    if b"transfer-encoding: chunked" not in head.lower():
+        return body
+    data = b""
+    while body:
+        size, _, body = body.partition(b"\r\n")
+        if not size or not int(size, 16):
+            break
+        data += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+    return data
+
+
+def run_system(test, server_count=2, document=None, **settings):
+    """Run an async test with a `System` whose parts have started."""
+
+    async def main():
+        async with running(server_count, document, settings) as system:
+            return await curio.timeout_after(HANG_S, test, system)
+
+    return curio.run(main)
+
+
+@asynccontextmanager
+async def running(server_count, document, settings):
+    """Run a system for the length of a block."""
+    values = {"target_interval_s": 0.05, "source_retry_s": 0.02, "table_wait_s": 5.0}
+    values |= {"watch_interval_s": 0.01, "balancer_notice_s": 0.05}
+    system = System(values | settings)
+    async with AsyncExitStack() as stack:
+        for number in range(server_count):
+            server = PlatformServerStandin(f"i-{number}")
+            system.servers.append(await stack.enter_async_context(server))
+        store = await stack.enter_async_context(HttpServer(system.store.handle))
+        system.store_address = Address(store.host, store.port)
+        if document is not None or server_count:
+            await system.store.put("keyed.op", "config", document or published())
+            await system.list_servers()
+        await _start(system, stack)
+        try:
+            yield system
+        finally:
+            await stack.aclose()
+
+
+async def _start(system, stack):
+    metrics = Metrics()
+    calls = metrics.counter("calls", "Calls.", ("call",))
+    store = StoreClient(system.store_address, 0.3, calls)
+    system.gateway = Gateway(
+        system.settings,
+        "a",
+        PlatformWire(),
+        PublishedTables(store),
+        ListedTargets(store),
+        SYSTEM_CLOCK,
+        metrics,
+        random.Random(1),
+    )
+    listening = curio.tcp_server_socket("127.0.0.1", 0)
+    status = curio.tcp_server_socket("127.0.0.1", 0)
+    system.address = listening.getsockname()
+    system.status_address = status.getsockname()
+    tasks = [await curio.spawn(run) for run in system.gateway.tasks().values()]
+    tasks.append(await curio.spawn(system.gateway.serve_callers, listening))
+    tasks.append(
+        await curio.spawn(system.gateway.serve_status, status, "/ready", "/metrics")
+    )
+    for task in tasks:
+        stack.push_async_callback(task.cancel)
+    await until(lambda: system.gateway.unready_reason() is None or not system.servers)
+
+
+async def until(condition, limit_s=5.0):
+    """Wait until a condition holds."""
+    async with curio.timeout_after(limit_s):
+        while not condition():
+            await curio.sleep(0.005)
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,276 @@
+"""Stand-in of a server on the users' platform, with faults by the connection.
+
+It reads a request, notes that it came, and answers as the next of its scripted
+behaviours says; without one it answers whole.  Answers are written as bytes, since most
+faults are not HTTP that a library would send.
+"""
+
+from collections import deque
+
+import curio
+
+READ_SIZE_BYTES = 65_536
+SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+
+
+class SeenRequest:
+    """A request that reached a server.
+
+    Parameters
+    ----------
+    line : str
+        Request line.
+    headers : dict of str to str
+        By lower-case name.
+    body : bytes
+        The body.
+    """
+
+    __slots__ = ("body", "headers", "line")
+
+    def __init__(self, line, headers, body):
+        self.line = line
+        self.headers = headers
+        self.body = body
+
+    @property
+    def request_id(self):
+        """The caller's id of the attempt."""
+        return self.headers.get("x-request-id", "")
+
+
+class PlatformServerStandin:
+    """A server.
+
+    Parameters
+    ----------
+    instance_id : str
+        Its id.
+
+    Attributes
+    ----------
+    seen : list of SeenRequest
+        Requests in the order of their arrival.
+    behaviours : collections.deque
+        ``async behaviour(server, request, client)`` for each of the next requests.
+    closed_early : curio.Event
+        Set when a caller closes its connection while a request runs.
+    """
+
+    __slots__ = (
+        "_listener",
+        "_task",
+        "behaviours",
+        "closed_early",
+        "connection_count",
+        "host",
+        "instance_id",
+        "port",
+        "seen",
+    )
+
+    def __init__(self, instance_id):
+        self.instance_id = instance_id
+        self.seen = []
+        self.behaviours = deque()
+        self.closed_early = curio.Event()
+        self.connection_count = 0
+        self._listener = curio.tcp_server_socket("127.0.0.1", 0)
+        self._task = None
+        self.host, self.port = self._listener.getsockname()
+
+    async def __aenter__(self):
+        self._task = await curio.spawn(
+            curio.network.run_server, self._listener, self.serve
+        )
+        return self
+
+    async def __aexit__(self, *exception):
+        await self._task.cancel()
+
+    async def serve(self, client, address):
+        """Serve one connection."""
+        self.connection_count += 1
+        rest = b""
+        try:
+            while True:
+                request, rest = await read_request(client, rest)
+                if request is None:
+                    return
+                self.seen.append(request)
+                behave = self.behaviours.popleft() if self.behaviours else answer_whole
+                if await behave(self, request, client) is CLOSE:
+                    return
+        except OSError:
+            return
+
+
+CLOSE = object()
+
+
+async def read_request(client, rest):
+    """Return the next `SeenRequest`, or None, and the bytes behind it."""
+    while b"\r\n\r\n" not in rest:
+        data = await client.recv(READ_SIZE_BYTES)
+        if not data:
+            return None, b""
+        rest += data
+    head, _, rest = rest.partition(b"\r\n\r\n")
+    line, *lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for one in lines:
+        name, _, value = one.partition(":")
+        headers[name.lower()] = value.strip()
+    size = int(headers.get("content-length", 0))
+    while len(rest) < size:
+        data = await client.recv(READ_SIZE_BYTES)
+        if not data:
+            return None, b""
+        rest += data
+    return SeenRequest(line, headers, rest[:size]), rest[size:]
+
+
+def answer_bytes(request_id, status="200 OK", body=b"done\n", headers=()):
+    """Return a whole answer."""
+    lines = [
+        f"HTTP/1.1 {status}",
+        f"X-Request-Id: {request_id}",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def sealed(headers=()):
+    """Return the headers of an answer that the server stands by."""
+    return [f"X-Response-Seal: {SEAL}", "X-Server-Load: 1,0,6", *headers]
+
+
+async def answer_whole(server, request, client):
+    """Answer with success."""
+    await client.sendall(answer_bytes(request.request_id, headers=sealed()))
+
+
+async def decline(server, request, client):
+    """Say that the request was not run."""
+    data = answer_bytes(
+        request.request_id,
+        "503 Service Unavailable",
+        b"",
+        ["X-Not-Executed: 1", "X-Server-Load: 6,6,6"],
+    )
+    await client.sendall(data)
+
+
+async def decline_for_group(server, request, client):
+    """Say that the request was not run since another rank has failed."""
+    data = answer_bytes(
+        request.request_id,
+        "503 Service Unavailable",
+        b"",
+        ["X-Not-Executed: 1", "At-Server: i-other"],
+    )
+    await client.sendall(data)
+
+
+async def misdirect(server, request, client):
+    """Say that another instance was expected."""
+    data = answer_bytes(
+        request.request_id, "421 Misdirected Request", b"", ["X-Instance-Id: i-new"]
+    )
+    await client.sendall(data)
+
+
+async def fail(server, request, client):
+    """Run the request and fail."""
+    data = answer_bytes(
+        request.request_id, "500 Internal Server Error", b"sorry\n", sealed()
+    )
+    await client.sendall(data)
+
+
+async def lose_answer(server, request, client):
+    """Run the request and close the connection."""
+    return CLOSE
+
+
+async def cut_answer(server, request, client):
+    """Close within the body."""
+    await client.sendall(answer_bytes(request.request_id, headers=sealed())[:-2])
+    return CLOSE
+
+
+async def answer_twice(server, request, client):
+    """Answer, and answer once more."""
+    answer = answer_bytes(request.request_id, headers=sealed())
+    await client.sendall(answer + answer)
+
+
+async def answer_another_first(server, request, client):
+    """Send the answer to some other request before this one's."""
+    other = answer_bytes("another-request", body=b"not yours\n", headers=sealed())
+    await client.sendall(other + answer_bytes(request.request_id, headers=sealed()))
+
+
+async def answer_nonsense(server, request, client):
+    """Send bytes that are no answer."""
+    await client.sendall(b"\x00\x01\x02 nonsense\r\n\r\n")
+
+
+async def hang(server, request, client):
+    """Answer nothing, and note when the caller leaves."""
+    while await client.recv(READ_SIZE_BYTES):
+        pass
+    await server.closed_early.set()
+    return CLOSE
+
+
+async def answer_until_close(server, request, client):
+    """Answer without a length; the connection's end is the answer's."""
+    head = ["HTTP/1.1 200 OK", f"X-Request-Id: {request.request_id}", *sealed()]
+    await client.sendall("\r\n".join(head).encode() + b"\r\n\r\ndone\n")
+    return CLOSE
+
+
+def event(number):
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+def stream(first, last, cut_within=None, gap_s=0.0):
+    """Return a behaviour that sends events, and may close within one of them.
+
+    Parameters
+    ----------
+    first, last : int
+        Ids of the first and the last event.
+    cut_within : int or None
+        Event in whose middle the connection is closed.
+    gap_s : float
+        Pause before each event.
+    """
+
+    async def behave(server, request, client):
+        head = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {request.request_id}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+            *sealed([f"X-Instance-Id: {server.instance_id}"]),
+        ]
+        await client.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
+        for number in range(first, last + 1):
+            await curio.sleep(gap_s)
+            data = event(number)
+            if number == cut_within:
+                await client.sendall(_chunk(data[: len(data) // 2]))
+                return CLOSE
+            await client.sendall(_chunk(data))
+        await client.sendall(b"0\r\n\r\n")
+        return None
+
+    return behave
+
+
+def _chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,194 @@
+"""Stand-in of the users' platform's store: a log of records by topic.
+
+Run it with ``python -m standins.platform_store --port 0``.  It serves the calls that
+the project uses: appending, reading with a wait, the newest record of each key, and
+joining a group of members.  ``POST /faults`` takes ``mode``: "up", "busy" (503),
+"silent" (no answer) or "reset"; and ``forget``: a topic whose records are dropped but
+for the newest of each key.
+"""
+
+import argparse
+import base64
+import json
+
+import curio
+
+from standins._http_server import add_server_options, CloseConnection, run_standin
+
+PARTITION_COUNT = 8
+PAGE_ITEMS = 500
+MILLISECONDS_PER_SECOND = 1000
+FOR_EVER_S = 3600.0
+OFFSET_BYTES = 8
+LENGTH_BYTES = 4
+
+
+class Topic:
+    """Records of one topic, which has one partition here.
+
+    Attributes
+    ----------
+    first : int
+        Offset of the oldest record that is kept.
+    records : list of bytes
+        The records from there on.
+    newest : dict of str to tuple
+        Offset and value of the newest record of each key.
+    """
+
+    __slots__ = ("added", "first", "newest", "records")
+
+    def __init__(self):
+        self.first = 0
+        self.records = []
+        self.newest = {}
+        self.added = curio.Condition()
+
+    @property
+    def end(self):
+        """Offset that the next record will get."""
+        return self.first + len(self.records)
+
+    async def append(self, record):
+        """Add a record and wake the readers that wait."""
+        key_end = 1 + record[0]
+        key, value = record[1:key_end].decode(), record[key_end:]
+        if value:
+            self.newest[key] = (self.end, value)
+        else:
+            self.newest.pop(key, None)
+        self.records.append(record)
+        async with self.added:
+            await self.added.notify_all()
+
+    def forget(self):
+        """Drop every record but the newest of each key."""
+        self.first = self.end
+        self.records.clear()
+
+
+class PlatformStoreStandin:
+    """The store.
+
+    Attributes
+    ----------
+    mode : str
+        "up", "busy", "silent" or "reset".
+    calls : list of str
+        Paths of the calls so far.
+    """
+
+    __slots__ = ("_generation", "_members", "calls", "mode", "topics")
+
+    def __init__(self):
+        self.topics = {}
+        self.mode = "up"
+        self.calls = []
+        self._members = {}
+        self._generation = 0
+
+    async def put(self, topic, key, value):
+        """Write the newest record of a key; None drops the key."""
+        body = b"" if value is None else json.dumps(value).encode()
+        record = bytes([len(key)]) + key.encode() + body
+        await self._topic(topic).append(record)
+
+    async def handle(self, request, exchange):
+        """Answer one request."""
+        if request.path == "/faults":
+            await self._set_faults(request.json())
+            await exchange.answer_json(200, {})
+            return
+        self.calls.append(request.path)
+        if self.mode == "silent":
+            await curio.sleep(FOR_EVER_S)
+        if self.mode == "reset":
+            raise CloseConnection
+        answers = {
+            "/siskinthread/log-append": self._append,
+            "/siskinthread/log-read": self._read,
+            "/siskinthread/log-newest": self._newest,
+            "/siskinthread/log-join": self._join,
+        }
+        if self.mode == "busy" or request.path not in answers:
+            await exchange.answer_json(503 if self.mode == "busy" else 404, {})
+            return
+        await answers[request.path](request, exchange)
+
+    async def _set_faults(self, faults):
+        self.mode = faults.get("mode", self.mode)
+        if "forget" in faults:
+            self._topic(faults["forget"]).forget()
+
+    def _topic(self, name):
+        return self.topics.setdefault(name, Topic())
+
+    async def _append(self, request, exchange):
+        topic = self._topic(request.query["topic"])
+        offset, at = topic.end, 0
+        while at < len(request.body):
+            size = int.from_bytes(request.body[at : at + LENGTH_BYTES], "big")
+            at += LENGTH_BYTES
+            await topic.append(request.body[at : at + size])
+            at += size
+        await exchange.answer_json(200, {"offset": offset, "end": topic.end})
+
+    async def _read(self, request, exchange):
+        topic = self._topic(request.query["topic"])
+        start = int(request.query["from"])
+        if start < topic.first:
+            await exchange.answer_json(410, {"first": topic.first})
+            return
+        wait_s = int(request.query.get("wait_ms", 0)) / MILLISECONDS_PER_SECOND
+        if start >= topic.end and wait_s:
+            async with topic.added:
+                await curio.ignore_after(wait_s, topic.added.wait)
+        if self.mode == "silent":
+            await curio.sleep(FOR_EVER_S)
+        body = b"".join(
+            number.to_bytes(OFFSET_BYTES, "big") for number in (topic.end, topic.first)
+        )
+        for record in topic.records[start - topic.first :]:
+            body += len(record).to_bytes(LENGTH_BYTES, "big") + record
+        await exchange.answer(200, body, "application/octet-stream")
+
+    async def _newest(self, request, exchange):
+        topic = self._topic(request.query["topic"])
+        keys = sorted(
+            key for key in topic.newest if key > request.query.get("after", "")
+        )
+        page = [
+            {
+                "key": key,
+                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "offset": topic.newest[key][0],
+            }
+            for key in keys[:PAGE_ITEMS]
+        ]
+        answer = {"items": page, "has_more": len(keys) > PAGE_ITEMS, "end": topic.end}
+        await exchange.answer_json(200, answer)
+
+    async def _join(self, request, exchange):
+        asked = request.json()
+        if asked["member"] not in self._members:
+            self._members[asked["member"]] = None
+            self._generation += 1
+        members = sorted(self._members)
+        parts = [
+            [asked["topics"][0], number, 0]
+            for number in range(PARTITION_COUNT)
+            if members[number % len(members)] == asked["member"]
+        ]
+        answer = {"generation": self._generation, "parts": parts}
+        await exchange.answer_json(200, answer)
+
+
+def main():
+    """Run the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    add_server_options(parser)
+    run_standin(PlatformStoreStandin().handle, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
