--- /dev/null
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -0,0 +1,126 @@
+"""Choice of the target of an attempt."""
+
+import random
+
+import pytest
+
+from siskinthread.gateway._request import GatewayRequest, LoadReport, RequestFacts
+from siskinthread.gateway._target_choice import TargetChoice
+from siskinthread.gateway._target_health import TargetHealth
+from siskinthread.gateway._target_list import TargetList
+from siskinthread.gateway._target_loads import TargetLoads
+from siskinthread.gateway.tests.parts import clock, entry, SETTINGS
+from siskinthread.gateway.tests.test_table import build_route
+from siskinthread.outcomes import End, Outcome, Reason
+from siskinthread.timing import Deadline
+
+
+class Parts:
+    """A choice with its parts."""
+
+    def __init__(self, *entries):
+        self.clock = clock()
+        self.targets = TargetList(SETTINGS, self.clock)
+        self.targets.replace(entries)
+        self.loads = TargetLoads(SETTINGS, self.clock)
+        self.health = TargetHealth(SETTINGS, self.clock)
+        self.choice = TargetChoice(
+            SETTINGS, "a", self.targets, self.loads, self.health, random.Random(1)
+        )
+
+    def request(self, left_s=8.0):
+        """Return a request to the service of the entries."""
+        return GatewayRequest(
+            None,
+            b"",
+            RequestFacts("id", None, None),
+            build_route("a.example", "/"),
+            "app",
+            None,
+            1,
+            Deadline.after(self.clock, left_s),
+        )
+
+    def choose(self, tried=()):
+        """Return the id of the chosen target, or the refusal."""
+        chosen = self.choice.choose(self.request(), set(tried))
+        return chosen if isinstance(chosen, End) else chosen.instance_id
+
+
+def test_least_loaded_target_is_chosen():
+    """Own requests and those that targets report count together."""
+    parts = Parts(entry("i-1"), entry("i-2"), entry("i-3"))
+    parts.loads.started("i-1")
+    parts.loads.report("i-2", LoadReport(3, 0, 6))
+    assert parts.choose() == "i-3"
+
+
+def test_reported_load_counts_only_while_it_is_new():
+    """A report of long ago says nothing of now."""
+    parts = Parts(entry("i-1"), entry("i-2"))
+    parts.loads.report("i-2", LoadReport(3, 0, 6))
+    parts.loads.started("i-1")
+    assert parts.choose() == "i-1"
+    parts.clock.advance(SETTINGS.load_report_limit_s + 0.1)
+    assert parts.choose() == "i-2"
+
+
+def test_group_goes_before_rank():
+    """Symptom: an idle rank is chosen in a group that is slow.
+
+    Cause: the ranks of a group run in lock-step, so its load slows all of them.
+    """
+    parts = Parts(entry("a-1"), entry("a-2"), entry("b-1"), entry("b-2"))
+    parts.choice.group_of = lambda instance_id: instance_id[0]
+    for _ in range(4):
+        parts.loads.started("a-1")
+    for _ in range(1):
+        parts.loads.started("b-1")
+    parts.loads.started("b-2")
+    assert parts.choose()[0] == "b"
+
+
+def test_second_attempt_leaves_the_group_that_failed():
+    """When one rank of a group fails, all of them do."""
+    parts = Parts(entry("a-1"), entry("a-2"), entry("b-1"))
+    parts.choice.group_of = lambda instance_id: instance_id[0]
+    for _ in range(3):
+        parts.loads.started("b-1")
+    assert parts.choose(tried=["a-1"]) == "b-1"
+
+
+def test_failing_target_is_passed_over_unless_all_fail():
+    """One that fails is left alone for a while; with all failing, one is tried."""
+    parts = Parts(entry("i-1"), entry("i-2"))
+    parts.health.failed("i-1", "can't connect")
+    assert parts.choose() == "i-2"
+    parts.health.failed("i-2", "can't connect")
+    assert parts.choose() in ("i-1", "i-2")
+
+
+def test_full_targets_refuse_with_when_to_come_back():
+    """Beyond what can be served in time, the answer is a refusal at once."""
+    parts = Parts(entry("i-1", slots=2))
+    for _ in range(2 + int(2 * SETTINGS.waiting_per_slot)):
+        parts.loads.started("i-1")
+    end = parts.choose()
+    assert (end.outcome, end.reason) == (Outcome.REFUSED_NOT_RUN, Reason.OVERLOADED)
+    assert 0 < end.retry_after_s < 8.0 / 3
+
+
+@pytest.mark.parametrize("left_s", [0.2, 1.0, 8.0])
+def test_callers_come_back_within_a_third_of_their_time(left_s):
+    """A later time would keep them from coming back at all."""
+    parts = Parts(entry("i-1"))
+    request = parts.request(left_s)
+    assert parts.choice.come_back_after_s(request) < left_s / 3
+    parts.health.failed("i-1", "can't connect")
+    assert parts.choice.come_back_after_s(request) < left_s / 3
+
+
+def test_callers_refused_together_come_back_apart():
+    """Symptom: an overload repeats itself a second later."""
+    parts = Parts(entry("i-1"))
+    request = parts.request()
+    times = {round(parts.choice.come_back_after_s(request), 2) for _ in range(50)}
+    assert len(times) > 20
--- /dev/null
+++ b/siskinthread/gateway/tests/test_target_list.py
@@ -0,0 +1,75 @@
+"""Which targets are believed to serve, around leaving and outages of the list."""
+
+from siskinthread.gateway._target_list import TargetList
+from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
+
+
+def build():
+    """Return a list with two targets, and its clock."""
+    now = clock()
+    targets = TargetList(SETTINGS, now)
+    targets.replace([entry("i-1"), entry("i-2")])
+    return targets, now
+
+
+def test_vanished_target_is_gone_at_once():
+    """Without an outage the list is taken at its word."""
+    targets, _ = build()
+    targets.vanish("i-1")
+    assert ids(targets.serving("app")) == ["i-2"]
+
+
+def test_targets_that_lapse_in_an_outage_are_kept_for_a_while():
+    """Symptom: every request is refused for want of a target after an outage.
+
+    Events: entries lapse while the list is away; it returns without them, and the
+    targets report again within two seconds.
+    """
+    targets, now = build()
+    targets.note_outage()
+    now.advance(1.0)
+    targets.replace([])
+    assert ids(targets.serving("app")) == ["i-1", "i-2"]
+    targets.put(entry("i-1"))
+    now.advance(1.5)
+    assert ids(targets.serving("app")) == ["i-1"]
+
+
+def test_leaving_in_an_outage_is_not_forgotten():
+    """A target that had said that it leaves does not come back by its lapse."""
+    targets, _ = build()
+    targets.put(entry("i-1", is_leaving=True))
+    targets.note_outage()
+    targets.vanish("i-1")
+    assert ids(targets.serving("app")) == ["i-2"]
+
+
+def test_late_report_does_not_bring_a_leaving_target_back():
+    """Symptom: a leaving target gets requests again.
+
+    Events: it has said that it leaves; an older report of it is read afterwards.
+    """
+    targets, _ = build()
+    targets.put(entry("i-1", is_leaving=True))
+    targets.put(entry("i-1"))
+    assert ids(targets.serving("app")) == ["i-2"]
+
+
+def test_target_that_vanished_may_report_again():
+    """A target that was only cut off for a while serves again."""
+    targets, _ = build()
+    targets.vanish("i-1")
+    targets.put(entry("i-1"))
+    assert sorted(ids(targets.serving("app"))) == ["i-1", "i-2"]
+
+
+def test_listeners_hear_once_of_each_target_that_leaves():
+    """Kept connections are closed by what listeners are told."""
+    targets, _ = build()
+    told = []
+    targets.listen(lambda one: told.append(one.instance_id))
+    targets.put(entry("i-1", is_leaving=True))
+    targets.vanish("i-1")
+    targets.note_leaving("i-2", "its successor")
+    targets.note_leaving("i-2", "its successor")
+    assert told == ["i-1", "i-2"]
--- /dev/null
+++ b/siskinthread/group_maps/tests/test_demand.py
@@ -0,0 +1,55 @@
+"""Demand for experts from counts of a few ranks."""
+
+from siskinthread.group_maps import Demand, GroupMapSettings, RankCounts
+
+SETTINGS = GroupMapSettings(newest_weight=0.5)
+
+
+def counts(epoch, *values):
+    """Return the counts of one set of three experts."""
+    return RankCounts(epoch, 1, [list(values)])
+
+
+def test_two_looks_give_what_was_chosen_between_them():
+    """Ranks count from their start; only the difference tells of now."""
+    demand = Demand(SETTINGS)
+    demand.note({0: counts(1, 100, 100, 100)})
+    assert demand.loads_by_set is None
+    demand.note({0: counts(1, 130, 110, 100)})
+    assert demand.loads_by_set == [[0.75, 0.25, 0.0]]
+
+
+def test_ranks_count_together():
+    """Several ranks are one sample."""
+    demand = Demand(SETTINGS)
+    demand.note({0: counts(1, 0, 0, 0), 4: counts(1, 0, 0, 0)})
+    demand.note({0: counts(1, 6, 0, 0), 4: counts(1, 0, 2, 0)})
+    assert demand.loads_by_set == [[0.75, 0.25, 0.0]]
+
+
+def test_newer_looks_weigh_more():
+    """Old demand fades by the weight of the newest look."""
+    demand = Demand(SETTINGS)
+    for values in ((0, 0, 0), (10, 0, 0), (10, 10, 0)):
+        demand.note({0: counts(1, *values)})
+    assert demand.loads_by_set == [[0.5, 0.5, 0.0]]
+
+
+def test_restarted_rank_tells_nothing_at_first():
+    """Symptom: the demand is negative.
+
+    Events: a group forms anew, and its ranks count from zero again.
+    """
+    demand = Demand(SETTINGS)
+    demand.note({0: counts(1, 0, 0, 0)})
+    demand.note({0: counts(1, 10, 0, 0)})
+    demand.note({0: counts(2, 0, 3, 0)})
+    assert demand.loads_by_set == [[1.0, 0.0, 0.0]]
+
+
+def test_idle_group_keeps_the_last_demand():
+    """No choices are no news."""
+    demand = Demand(SETTINGS)
+    for _ in range(3):
+        demand.note({0: counts(1, 4, 0, 0)})
+    assert demand.loads_by_set is None
--- /dev/null
+++ b/siskinthread/group_maps/tests/test_planner.py
@@ -0,0 +1,73 @@
+"""Plans: small, possible, and better than before."""
+
+import random
+
+from hypothesis import given, settings as hypothesis_settings, strategies as st
+
+from siskinthread.group_maps import (
+    ExpertLayout,
+    GroupMap,
+    GroupMapSettings,
+    plan_change,
+    relative_pass_time,
+)
+
+LAYOUT = ExpertLayout(2, 16, 6, 2, 0.85, copy_s=0.1, report_lag_s=0.2)
+SETTINGS = GroupMapSettings(copies_limit=3)
+RANKS = 4
+
+
+def first_map():
+    """Return the map that deals the experts out in turn."""
+    ranks = [tuple(range(rank, 16, RANKS)) for rank in range(RANKS)]
+    return GroupMap(0, [ranks] * LAYOUT.set_count, LAYOUT.expert_count)
+
+
+def skewed(seed):
+    """Return loads where a few experts have most."""
+    draw = random.Random(seed)
+    return [
+        [draw.random() ** 6 + 0.01 for _ in range(LAYOUT.expert_count)]
+        for _ in range(LAYOUT.set_count)
+    ]
+
+
+@given(st.integers(0, 10_000))
+@hypothesis_settings(max_examples=60)
+def test_plans_keep_the_limits_and_help(seed):
+    """No rank gets more than it may, every expert stays held, no plan is worse."""
+    loads = skewed(seed)
+    group_map = first_map()
+    for version in range(1, 4):
+        plan = plan_change(group_map, loads, LAYOUT, SETTINGS, version)
+        assert plan.time_after <= plan.time_before
+        assert group_map.new_experts(plan.group_map) <= SETTINGS.copies_limit
+        for ranks, before in zip(
+            plan.group_map.holdings, group_map.holdings, strict=True
+        ):
+            assert {expert for rank in ranks for expert in rank} == set(range(16))
+            for rank, rank_before in zip(ranks, before, strict=True):
+                assert len(rank) <= LAYOUT.place_count
+                assert len(set(rank) - set(rank_before)) <= LAYOUT.spare_count
+        group_map = plan.group_map
+
+
+def test_few_small_changes_even_a_strong_skew_out():
+    """Three changes of three copies bring a hot expert's group near to even."""
+    loads = [[20.0] + [1.0] * 15, [1.0] * 15 + [20.0]]
+    group_map = first_map()
+    before = relative_pass_time(group_map.holdings, loads, LAYOUT.expert_share)
+    for version in range(1, 4):
+        plan = plan_change(group_map, loads, LAYOUT, SETTINGS, version)
+        group_map = plan.group_map
+    after = relative_pass_time(group_map.holdings, loads, LAYOUT.expert_share)
+    assert before > 2.0
+    assert after < 1.15
+
+
+def test_even_demand_changes_nothing():
+    """Without a gain nothing is copied."""
+    loads = [[1.0] * 16] * 2
+    plan = plan_change(first_map(), loads, LAYOUT, SETTINGS, 1)
+    assert plan.gain == 0
+    assert plan.group_map.holdings == first_map().holdings
--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -41,7 +41,7 @@
             _read_accounts(document.get("tenants")),
             _read_limits(document.get("limits")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise DocumentError([f"{key}: {error!r}"]) from error
 
 
--- a/siskinthread/platform/_server_entry.py
+++ b/siskinthread/platform/_server_entry.py
@@ -32,5 +32,5 @@
             slot_count=int(document.get("slots", 1)),
             is_leaving=document.get("state") == DRAINING,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise DocumentError([f"{key}: {error!r}"]) from error
--- /dev/null
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -0,0 +1,142 @@
+"""Decoding of the platform's settings, records, documents and headers."""
+
+import json
+
+import pytest
+from hypothesis import given, strategies as st
+
+from siskinthread.errors import DocumentError, SettingsError
+from siskinthread.gateway import RequestKind
+from siskinthread.http_server import RequestHead
+from siskinthread.outcomes import Head
+from siskinthread.platform._host_settings import read_host_settings
+from siskinthread.platform._published import read_route_table
+from siskinthread.platform._server_entry import read_target_entry
+from siskinthread.platform._store import _read_records
+from siskinthread.platform._wire import PlatformWire
+from siskinthread.platform.tests.system import published, route
+
+SETTINGS_TEXT = """
+node = "front-a-1"
+zone = "a"
+ip = "10.1.0.40"
+internal_ports = [7340, 7355]
+unknown = "ignored"
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+grace_s = 8
+[platform]
+address = "10.200.1.7:8223"
+parts = 8
+"""
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+
+
+def test_settings_are_read():
+    """Each field gets the name that it has in the product."""
+    settings = read_host_settings(SETTINGS_TEXT, "settings.toml")
+    assert settings.host == "front-a-1"
+    assert settings.failure_domain == "a"
+    assert str(settings.callers_listen) == "10.1.0.40:8227"
+    assert settings.stop_limit_s == 8
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "message"),
+    [
+        ('zone = "a"', "", "zone is missing"),
+        ('zone = "a"', "zone = 5", "zone has the value 5"),
+        ('"10.200.1.7:8223"', '"10.200.1.7"', "platform.address is no address"),
+        ("parts = 8", "parts = true", "platform.parts has the value True"),
+        ("[listen]", "[listen", "settings.toml"),
+    ],
+)
+def test_settings_that_can_not_be_used_say_why(old, new, message):
+    """The file and the field are named."""
+    with pytest.raises(SettingsError, match=message.replace(".", r"\.")):
+        read_host_settings(SETTINGS_TEXT.replace(old, new), "settings.toml")
+
+
+@pytest.mark.parametrize(
+    ("fields", "kind"),
+    [
+        ({"kind": "safe"}, RequestKind.IDEMPOTENT),
+        ({"kind": "unsafe"}, RequestKind.ONCE),
+        ({"kind": "of the future"}, RequestKind.ONCE),
+        ({"kind": "streaming"}, RequestKind.STREAM_ONCE),
+        ({"kind": "streaming", "resumable": True}, RequestKind.STREAM_RESUMABLE),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(fields, kind):
+    """A kind that is not known may not be repeated."""
+    values = route("/x/", fields.pop("kind"), **fields)
+    table = read_route_table("config", published(routes=[values]))
+    assert table.find_route(values["host"], "/x/y").kind is kind
+
+
+@given(JSON_VALUES)
+def test_any_document_is_a_table_or_an_error(document):
+    """Nothing that an operator writes ends the process."""
+    try:
+        read_route_table("config", document)
+        read_target_entry("i-1", document)
+    except DocumentError:
+        return
+
+
+@given(st.sampled_from(sorted(published())), JSON_VALUES)
+def test_any_change_of_a_document_is_a_table_or_an_error(field, value):
+    """Nor does a document with one field of another form."""
+    try:
+        read_route_table("config", published() | {field: value})
+    except DocumentError:
+        return
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_records_or_an_error(data):
+    """A torn answer of the store is noticed."""
+    try:
+        _read_records(data)
+    except ValueError:
+        return
+
+
+@given(st.lists(st.tuples(st.text(max_size=20), st.binary(max_size=40)), max_size=5))
+def test_records_are_read_as_they_were_written(records):
+    """Keys and values come back; an empty value drops its key."""
+    data = bytes(16)
+    for key, value in records:
+        content = bytes([len(key.encode())]) + key.encode() + value
+        data += len(content).to_bytes(4, "big") + content
+    read = [(one.key, one.value) for one in _read_records(data)]
+    assert read == [(key, value or None) for key, value in records]
+
+
+@given(st.text(st.characters(max_codepoint=255), max_size=30))
+def test_any_header_value_is_read(value):
+    """Numbers that callers and servers state may be anything."""
+    wire = PlatformWire()
+    names = ["x-deadline-ms", "last-event-id", "x-token-counts", "authorization"]
+    head = RequestHead("GET", "/", [(name, value) for name in names])
+    facts = wire.read_request(head)
+    assert facts.wait_limit_s is None or facts.wait_limit_s >= 0
+    names = ["x-server-load", "keep-alive", "connection"]
+    wire.read_answer(Head(200, [(name, value) for name in names]))
+
+
+def test_entry_of_a_server():
+    """A server that is draining is a target that leaves."""
+    document = json.loads(
+        '{"service":"app","address":"10.128.0.9:8080","zone":"a","slots":6,'
+        '"state":"draining"}'
+    )
+    entry = read_target_entry("i-7", document)
+    assert (entry.instance_id, entry.host, entry.port) == ("i-7", "10.128.0.9", 8080)
+    assert entry.is_leaving
--- a/siskinthread/platform/tests/test_path.py
+++ b/siskinthread/platform/tests/test_path.py
@@ -188,10 +188,15 @@
         first = b""
         while faults.event(1) not in first:
             first += await client.recv(65536)
-        return first, first + await read_response(client)
+        whole = first
+        while not whole.endswith(b"0\r\n\r\n"):
+            whole += await client.recv(65536)
+        await client.close()
+        return first, whole
 
-    first, _ = run_system(test)
+    first, whole = run_system(test)
     assert faults.event(2) not in first
+    assert faults.event(3) in whole
 
 
 def test_caller_keeps_its_connection():
