Let entries tell one another loads, versions and, in outages, all they know

Change: slice `peer_news`: datagrams every 0.1 s with own requests by target, the version in force, whether the sender is informed, and known peers. Loads of targets are sums over entries. Errors of reads are values, so that the log has no tracebacks for them.

--- a/siskinthread/gateway/__init__.py
+++ b/siskinthread/gateway/__init__.py
@@ -2,14 +2,15 @@
 
 Interface: ``Gateway(settings, failure_domain, wire, table_source, target_source, clock,
 metrics, random)``; ``tasks()``, ``async serve_callers(listening socket)``, ``async
-serve_status(...)``, ``async drain(deadline)``.  The sources hand in `RouteTable` and
+serve_pages(listening socket, pages)``, ``async drain(deadline)``.  The sources hand in `RouteTable` and
 `TargetEntry` objects, the wire reads and writes headers; see `Gateway`.
 """
 
-from siskinthread.gateway._following import TargetChange
+from siskinthread.gateway._following import Snapshot, TargetChange
 from siskinthread.gateway._gateway import Gateway
 from siskinthread.gateway._request import AnswerFacts, LoadReport, RequestFacts
 from siskinthread.gateway._settings import GatewaySettings
+from siskinthread.gateway._status import STATUS_OK, StatusPage
 from siskinthread.gateway._table import (
     Account,
     CallerLimits,
@@ -22,6 +23,7 @@
 from siskinthread.gateway._target_list import TargetEntry
 
 __all__ = [
+    "STATUS_OK",
     "Account",
     "AnswerFacts",
     "CallerLimits",
@@ -34,6 +36,8 @@
     "RouteTable",
     "Service",
     "ServiceShare",
+    "Snapshot",
+    "StatusPage",
     "TargetChange",
     "TargetEntry",
 ]
--- a/siskinthread/gateway/_following.py
+++ b/siskinthread/gateway/_following.py
@@ -103,14 +103,18 @@
     async def run(self):
         """Follow for ever."""
         while True:
-            self._reading = await curio.spawn(self._read, daemon=True)
+            self._reading = await curio.spawn(self._read_to_outcome, daemon=True)
             try:
-                tables = await self._reading.join()
+                outcome = await self._reading.join()
             except curio.TaskError as error:
-                await self._note_failure(error.__cause__)
+                if not isinstance(error.__cause__, curio.TaskCancelled):
+                    raise
+                continue
+            if isinstance(outcome, Exception):
+                await self._note_failure(outcome)
                 continue
             self.dependency.answered()
-            for table in tables:
+            for table in outcome:
                 self._put_in_force(table)
 
     async def read_again(self):
@@ -127,11 +131,16 @@
         if isinstance(error, PlatformUnavailableError):
             self.dependency.failed(error)
             await curio.sleep(self._settings.source_retry_s)
-        elif isinstance(error, PositionExpiredError):
+        else:
             _logger.event("published configuration is read anew", reason=str(error))
             self._position = None
-        elif not isinstance(error, curio.TaskCancelled):
-            raise error
+
+    async def _read_to_outcome(self):
+        """Return the tables, or the error of the source as a value."""
+        try:
+            return await self._read()
+        except (PlatformUnavailableError, PositionExpiredError) as error:
+            return error
 
     async def _read(self):
         if self._position is None:
@@ -229,6 +238,130 @@
                 self._targets.put(change.entry)
 
 
+class Snapshot:
+    """Configuration and targets as a peer knows them.
+
+    Parameters
+    ----------
+    table : RouteTable or None
+        The peer's routes.
+    entries : list of TargetEntry
+        The peer's targets.
+    """
+
+    __slots__ = ("entries", "table")
+
+    def __init__(self, table, entries):
+        self.table = table
+        self.entries = entries
+
+
+class SnapshotFollower:
+    """Takes over what peers know while the sources turn this process away.
+
+    Parameters
+    ----------
+    fetch : callable
+        ``async fetch(address)`` returns the `Snapshot` of a peer; raises
+        `PlatformUnavailableError`.
+    peers : siskinthread.peer_news.PeerNews
+        Tells which peers are informed.
+    view : TableView
+        Where tables come into force.
+    targets : TargetList
+        Where targets are noted.
+    table_follower : TableFollower
+        Told to read again if a peer has a newer table.
+    target_follower : TargetFollower
+        Tells whether its source answers.
+    settings : GatewaySettings
+        Times.
+    clock : siskinthread.timing.Clock
+        Clock of the ages.
+
+    Attributes
+    ----------
+    dependency : Dependency
+        When a snapshot was last taken.
+
+    Notes
+    -----
+    The sources may refuse some processes and serve others.  One would notice a process
+    that sends requests to targets which left seconds ago, lets revoked keys pass, or,
+    just started, refuses everything.
+    """
+
+    __slots__ = (
+        "_fetch",
+        "_peers",
+        "_settings",
+        "_table_follower",
+        "_target_follower",
+        "_targets",
+        "_view",
+        "dependency",
+    )
+
+    def __init__(
+        self,
+        fetch,
+        peers,
+        view,
+        targets,
+        table_follower,
+        target_follower,
+        settings,
+        clock,
+    ):
+        self._fetch = fetch
+        self._peers = peers
+        self._view = view
+        self._targets = targets
+        self._table_follower = table_follower
+        self._target_follower = target_follower
+        self._settings = settings
+        self.dependency = Dependency("news of peers", clock)
+
+    async def run(self):
+        """Follow for ever."""
+        while True:
+            await curio.sleep(self._settings.snapshot_interval_s)
+            if self._is_cut_off():
+                await self._take_snapshot()
+            elif self._is_behind():
+                # The source has not told this process yet, but it does answer.
+                await self._table_follower.read_again()
+
+    def _is_cut_off(self):
+        if self._target_follower.dependency.age_s() is None:
+            return True
+        return (
+            self._target_follower.dependency.is_lost
+            or self._table_follower.dependency.is_lost
+        )
+
+    def _is_behind(self):
+        table = self._view.table
+        known = 0 if table is None else table.version
+        return self._peers.newest_version() > known
+
+    async def _take_snapshot(self):
+        for address in self._peers.informed_peers()[:1]:
+            try:
+                snapshot = await self._fetch(address)
+            except PlatformUnavailableError as error:
+                self.dependency.failed(error)
+                continue
+            self.dependency.answered()
+            if snapshot.table is not None and self._view.advance(snapshot.table):
+                _logger.event(
+                    "configuration in force",
+                    version=snapshot.table.version,
+                    told_by=str(address),
+                )
+            self._targets.replace(snapshot.entries, is_sure=True)
+
+
 class TargetChange:
     """A change of the target list.
 
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -2,7 +2,11 @@
 
 import curio
 
-from siskinthread.gateway._following import TableFollower, TargetFollower
+from siskinthread.gateway._following import (
+    SnapshotFollower,
+    TableFollower,
+    TargetFollower,
+)
 from siskinthread.gateway._parts import GatewayParts
 from siskinthread.gateway._session import GatewaySession
 from siskinthread.gateway._status import (
@@ -60,8 +64,8 @@
         The routes in force.
     parts : GatewayParts
         The parts that requests need.
-    dependency : Dependency
-        Whether the source of the routes answers.
+    dependencies : list of Dependency
+        Whose answers confirm the routes.
     ended_count : prometheus_client.Counter
         Connections that were ended early, by cause.
 
@@ -76,7 +80,7 @@
     """
 
     __slots__ = (
-        "_dependency",
+        "_dependencies",
         "bodies",
         "closing",
         "draining",
@@ -86,7 +90,7 @@
         "view",
     )
 
-    def __init__(self, settings, view, parts, dependency, ended_count):
+    def __init__(self, settings, view, parts, dependencies, ended_count):
         self.settings = settings
         self.view = view
         self.parts = parts
@@ -94,18 +98,26 @@
         self.bodies = BodyBudget(settings.bodies_limit_bytes)
         self.draining = False
         self.closing = False
-        self._dependency = dependency
+        self._dependencies = dependencies
+
+    def confirm_by(self, dependency):
+        """Take the answers of one more `Dependency` for a confirmation of the routes."""
+        self._dependencies.append(dependency)
 
     def table_age_s(self):
         """Return the seconds since the routes were confirmed, or None."""
-        age_s = self._dependency.age_s()
-        return None if age_s is None else round(age_s, 3)
+        ages_s = [one.age_s() for one in self._dependencies]
+        known_s = [age_s for age_s in ages_s if age_s is not None]
+        return round(min(known_s), 3) if known_s else None
 
     def is_table_fresh(self):
         """Return whether the routes can be trusted to be the newest ones."""
-        age_s = self._dependency.age_s()
         limit_s = self.settings.table_wait_s + self.settings.table_fresh_s
-        return not self._dependency.is_lost and age_s is not None and age_s <= limit_s
+        for dependency in self._dependencies:
+            age_s = dependency.age_s()
+            if age_s is not None and age_s <= limit_s and not dependency.is_lost:
+                return True
+        return False
 
 
 class Gateway:
@@ -137,8 +149,9 @@
         "_clock",
         "_context",
         "_metrics",
+        "_peers",
         "_settings",
-        "_status_server",
+        "_snapshot_follower",
         "_table_follower",
         "_target_follower",
         "parts",
@@ -159,6 +172,8 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
+        self._peers = None
+        self._snapshot_follower = None
         self.view = TableView()
         live = LiveSettings(settings, self.view)
         self.parts = GatewayParts(
@@ -181,7 +196,7 @@
             live,
             self.view,
             self.parts,
-            self._table_follower.dependency,
+            [self._table_follower.dependency],
             ended_count,
         )
         self._callers = ConnectionServer(
@@ -192,29 +207,57 @@
             metrics.gauge("gateway_connections", "Connections of callers."),
         )
 
+    def hear_peers(self, peers, fetch_snapshot):
+        """Count peers' requests, and take over what they know in an outage.
+
+        Parameters
+        ----------
+        peers : siskinthread.peer_news.PeerNews
+            Exchanges news with them.
+        fetch_snapshot : callable
+            See `SnapshotFollower`.
+        """
+        peers.describe = self._describe
+        self.parts.loads.peers = peers
+        self._peers = peers
+        self._snapshot_follower = SnapshotFollower(
+            fetch_snapshot,
+            peers,
+            self.view,
+            self.parts.targets,
+            self._table_follower,
+            self._target_follower,
+            self._settings,
+            self._clock,
+        )
+        self._context.confirm_by(self._snapshot_follower.dependency)
+
     def tasks(self):
         """Return the endless tasks beside the servers, by name."""
-        return {
+        tasks = {
             "configuration": self._table_follower.run,
             "targets": self._target_follower.run,
             "upkeep": self._keep_up,
         }
+        if self._peers is not None:
+            tasks["news"] = self._peers.run
+            tasks["snapshots"] = self._snapshot_follower.run
+        return tasks
 
     async def serve_callers(self, listening_socket):
         """Serve callers until a drain has finished."""
         await self._callers.run(listening_socket)
 
-    async def serve_status(self, listening_socket, ready_path, metrics_path):
-        """Serve readiness and metrics until cancelled.
+    async def serve_pages(self, listening_socket, pages):
+        """Serve pages about the process until cancelled.
 
         Parameters
         ----------
         listening_socket : curio.io.Socket
             A listening socket.
-        ready_path, metrics_path : str
-            Paths of the two pages.
+        pages : dict of str to callable
+            Builds the `StatusPage` of each path.
         """
-        pages = {ready_path: self._ready_page, metrics_path: self._metrics_page}
 
         def open_session(connection, is_surplus):
             return StatusSession(connection, self._context, pages)
@@ -251,15 +294,25 @@
     def _open_session(self, connection, is_surplus):
         return GatewaySession(connection, self._context, is_surplus)
 
-    def _ready_page(self):
+    def ready_page(self):
+        """Return the `StatusPage` that tells the balancer whether to send callers."""
         reason = self.unready_reason()
         if reason is None:
             return StatusPage(STATUS_OK, b"ready\n")
         return StatusPage(STATUS_UNAVAILABLE, f"not ready: {reason}\n".encode())
 
-    def _metrics_page(self):
+    def metrics_page(self):
+        """Return the `StatusPage` of the metrics."""
         return StatusPage(STATUS_OK, self._metrics.render())
 
+    def _describe(self):
+        table = self.view.table
+        version = 0 if table is None else table.version
+        followers = (self._table_follower, self._target_follower)
+        is_lost = any(one.dependency.is_lost for one in followers)
+        is_known = self._target_follower.dependency.age_s() is not None
+        return version, is_known and not is_lost, self.parts.loads.own_counts()
+
     async def _keep_up(self):
         """Close connections to targets that have rested too long or are not needed."""
         while True:
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -228,6 +228,13 @@
         "list. Twelve entries then make 48 calls a second in an outage, an eighth of "
         "the 400 that are allowed.",
     )
+    snapshot_interval_s = Item(
+        float,
+        default=0.4,
+        minimum=0.01,
+        description="Time between two looks at whether peers know more than this "
+        "entry. Changes must be in force within 2 s.",
+    )
     table_wait_s = Item(
         float,
         default=8.0,
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -138,14 +138,25 @@
             return
         self._remove(entry)
 
-    def replace(self, entries):
-        """Take the whole list: what is not in it has vanished."""
+    def replace(self, entries, is_sure=False):
+        """Take the whole list: what is not in it has vanished.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+            The list.
+        is_sure : bool
+            Whether it comes from a peer that has seen the source itself, so that an
+            outage of this process's own path to it does not matter.
+        """
         present = set()
         for entry in entries:
             present.add(entry.instance_id)
             self.put(entry)
         for instance_id in list(self._entries):
-            if instance_id not in present:
+            if instance_id not in present and is_sure:
+                self._remove(self._entries[instance_id])
+            elif instance_id not in present:
                 self.vanish(instance_id)
 
     def note_leaving(self, instance_id, told_by):
--- a/siskinthread/gateway/_target_loads.py
+++ b/siskinthread/gateway/_target_loads.py
@@ -23,19 +23,26 @@
     clock : siskinthread.timing.Clock
         Clock of the ages.
 
+    Attributes
+    ----------
+    peers : siskinthread.peer_news.PeerNews or None
+        Tells other entries' requests.  Without news of any, the targets' own reports
+        count.
+
     Notes
     -----
     Each answer states the load of its target.  What exceeds this entry's own requests
     belongs to other entries.
     """
 
-    __slots__ = ("_clock", "_own", "_reported", "_settings")
+    __slots__ = ("_clock", "_own", "_reported", "_settings", "peers")
 
     def __init__(self, settings, clock):
         self._settings = settings
         self._clock = clock
         self._own = {}
         self._reported = {}
+        self.peers = None
 
     def started(self, instance_id):
         """Count a request as sent to a target."""
@@ -66,6 +73,8 @@
     def total(self, instance_id):
         """Return the number of requests that a target is believed to have."""
         own = self.own(instance_id)
+        if self.peers is not None and self.peers.has_fresh_news():
+            return own + self.peers.counts(instance_id)
         reported = self._reported.get(instance_id)
         if reported is None or reported.expiry.passed():
             return own
--- a/siskinthread/group_maps/_ranks.py
+++ b/siskinthread/group_maps/_ranks.py
@@ -76,19 +76,22 @@
             rank: await curio.spawn(self.tell, rank, order, daemon=True)
             for rank, order in orders.items()
         }
-        return {rank: await _result(task) for rank, task in tasks.items()}
+        return {rank: await task.join() for rank, task in tasks.items()}
 
     async def _ask_all(self, questions):
         tasks = [
-            await curio.spawn(ask, wait_s, daemon=True) for ask, wait_s in questions
+            await curio.spawn(_answer_or_error, ask, wait_s, daemon=True)
+            for ask, wait_s in questions
         ]
-        return [await _result(task) for task in tasks]
+        answers = [await task.join() for task in tasks]
+        for answer in answers:
+            if isinstance(answer, TargetError):
+                raise answer
+        return answers
 
 
-async def _result(task):
+async def _answer_or_error(ask, wait_s):
     try:
-        return await task.join()
-    except curio.TaskError as error:
-        if isinstance(error.__cause__, TargetError):
-            raise error.__cause__ from error
-        raise
+        return await ask(wait_s)
+    except TargetError as error:
+        return error
--- /dev/null
+++ b/siskinthread/peer_news/_settings.py
@@ -0,0 +1,49 @@
+"""Settings of the news between entry hosts."""
+
+from siskinthread.settings import Item, Section
+
+
+class PeerNewsSettings(Section):
+    """How often news are sent, and for how long they count."""
+
+    interval_s = Item(
+        float,
+        default=0.1,
+        minimum=0.01,
+        description="Time between two news of a process whose loads change, with up to "
+        "`peers_at_full_rate` peers; longer in proportion with more. A tenth of the "
+        "shortest goal of an answer is a quarter of this.",
+    )
+    peers_at_full_rate = Item(
+        int,
+        default=8,
+        minimum=1,
+        description="Peers up to which news go out at the full rate. Eight entries "
+        "send 0.2 MB a second in all.",
+    )
+    quiet_interval_s = Item(
+        float,
+        default=1.0,
+        minimum=0.05,
+        description="Time between two news of a process whose loads don't change.",
+    )
+    fresh_limit_s = Item(
+        float,
+        default=1.5,
+        minimum=0.05,
+        description="How long the loads that a peer told of count.",
+    )
+    forget_after_s = Item(
+        float,
+        default=20.0,
+        minimum=0.1,
+        description="Silence after which a peer is not told any more; longer than the "
+        "longest usual cut of a failure domain.",
+    )
+    size_limit_bytes = Item(
+        int,
+        default=8192,
+        minimum=512,
+        description="Largest datagram that is taken; loopback and the hosts' links "
+        "carry it in fragments.",
+    )
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -21,12 +21,18 @@
     part_logger,
     set_up_logging,
 )
+from siskinthread.peer_news import PeerNews, PeerNewsSettings
 from siskinthread.platform._host_settings import (
     read_host_settings,
     SETTINGS_VARIABLE,
 )
 from siskinthread.platform._rank_client import RankClient
 from siskinthread.platform._shares import StoreShares
+from siskinthread.platform._snapshots import (
+    fetch_snapshot,
+    snapshot_page,
+    SNAPSHOT_PATH,
+)
 from siskinthread.platform._sources import ListedTargets, PublishedTables
 from siskinthread.platform._store import StoreClient
 from siskinthread.platform._wire import PlatformWire
@@ -38,6 +44,8 @@
 METRICS_PATH = "/metrics"
 # The store answers in 4 ms; slow by a factor of 60 it takes 0.25 s.
 STORE_ANSWER_WAIT_S = 0.8
+# Peers are less than 15 ms away, and a snapshot takes some milliseconds to build.
+PEER_ANSWER_WAIT_S = 0.3
 SETTINGS_INTERVAL_S = 2.0
 GROUPS_INTERVAL_S = 1.0
 
@@ -62,6 +70,8 @@
         "_path",
         "_rank_calls",
         "_settings",
+        "_tables",
+        "_targets",
         "_text",
     )
 
@@ -74,16 +84,27 @@
             "platform_store_calls", "Calls to the platform's store.", ("call",)
         )
         store = StoreClient(self._settings.store, STORE_ANSWER_WAIT_S, calls)
+        self._tables = PublishedTables(store)
+        self._targets = ListedTargets(store)
         self._gateway = Gateway(
             GatewaySettings(),
             self._settings.failure_domain,
             PlatformWire(),
-            PublishedTables(store),
-            ListedTargets(store),
+            self._tables,
+            self._targets,
             SYSTEM_CLOCK,
             metrics,
             random.Random(),
         )
+        self._gateway.hear_peers(
+            PeerNews(
+                PeerNewsSettings(),
+                self._settings.peer_address,
+                self._settings.first_peers,
+                SYSTEM_CLOCK,
+            ),
+            self._fetch_snapshot,
+        )
         self._rank_calls = metrics.counter(
             "platform_rank_calls", "Calls to ranks of model groups.", ("call",)
         )
@@ -117,6 +138,7 @@
         tasks = self._gateway.tasks()
         tasks["callers"] = self._serve_callers
         tasks["status"] = self._serve_status
+        tasks["peers"] = self._serve_peers
         tasks["settings"] = self._watch_settings
         tasks["groups"] = self._learn_groups
         tasks["maps"] = self._duty.run
@@ -127,8 +149,26 @@
         await self._gateway.serve_callers(_listen(self._settings.callers_listen))
 
     async def _serve_status(self):
+        pages = {
+            READY_PATH: self._gateway.ready_page,
+            METRICS_PATH: self._gateway.metrics_page,
+        }
         address = self._settings.status_listen
-        await self._gateway.serve_status(_listen(address), READY_PATH, METRICS_PATH)
+        await self._gateway.serve_pages(_listen(address), pages)
+
+    async def _serve_peers(self):
+        pages = {
+            SNAPSHOT_PATH: self._snapshot_page,
+            METRICS_PATH: self._gateway.metrics_page,
+        }
+        await self._gateway.serve_pages(_listen(self._settings.peer_address), pages)
+
+    def _snapshot_page(self):
+        known_ids = {one.instance_id for one in self._gateway.parts.targets.entries()}
+        return snapshot_page(self._tables, self._targets, known_ids)
+
+    async def _fetch_snapshot(self, address):
+        return await fetch_snapshot(address, PEER_ANSWER_WAIT_S)
 
     async def _learn_groups(self):
         """Keep track of which targets are ranks of which groups."""
--- a/siskinthread/platform/_host_settings.py
+++ b/siskinthread/platform/_host_settings.py
@@ -17,14 +17,14 @@
         Name of the host.
     failure_domain : str
         Where the host is.
-    address : str
-        Its IP number.
     callers_listen : siskinthread.settings.Address or None
         Where callers connect.
     status_listen : siskinthread.settings.Address or None
         Where the balancer asks for readiness.
-    peer_ports : tuple of int
-        First and last port for the system's own use.
+    peer_address : siskinthread.settings.Address
+        Where other entry hosts reach this process, on the first port of its own.
+    first_peers : list of siskinthread.settings.Address
+        The same of at most three hosts; some of them may be gone.
     store : siskinthread.settings.Address
         The platform's store.
     share_count : int
@@ -34,11 +34,11 @@
     """
 
     __slots__ = (
-        "address",
         "callers_listen",
         "failure_domain",
+        "first_peers",
         "host",
-        "peer_ports",
+        "peer_address",
         "share_count",
         "status_listen",
         "stop_limit_s",
@@ -49,20 +49,20 @@
         self,
         host,
         failure_domain,
-        address,
         callers_listen,
         status_listen,
-        peer_ports,
+        peer_address,
+        first_peers,
         store,
         share_count,
         stop_limit_s,
     ):
         self.host = host
         self.failure_domain = failure_domain
-        self.address = address
         self.callers_listen = callers_listen
         self.status_listen = status_listen
-        self.peer_ports = peer_ports
+        self.peer_address = peer_address
+        self.first_peers = first_peers
         self.store = store
         self.share_count = share_count
         self.stop_limit_s = stop_limit_s
@@ -88,15 +88,18 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"{source_name}: {error}"]) from error
     reading = _Reading(document, source_name)
-    ports = reading.value("internal_ports", list)
+    ports = reading.value("internal_ports", list) or [0]
+    host = reading.value("ip", str)
+    seeds = reading.value("seeds", list, required=False) or []
     settings = HostSettings(
         # "node" is the platform's name of the machine, not of the process.
         host=reading.value("node", str),
         failure_domain=reading.value("zone", str),
-        address=reading.value("ip", str),
         callers_listen=reading.address("listen.front", required=False),
         status_listen=reading.address("listen.ready", required=False),
-        peer_ports=tuple(ports or ()),
+        peer_address=Address(host, ports[0]),
+        # These are addresses for another purpose; ports are the same on all hosts.
+        first_peers=[Address(seed.rpartition(":")[0], ports[0]) for seed in seeds],
         store=reading.address("platform.address"),
         share_count=reading.value("platform.parts", int),
         stop_limit_s=reading.value("bounds.grace_s", int, float),
@@ -133,11 +136,11 @@
         text = self.value(name, str, required=required)
         if text is None:
             return None
-        host, _, port = text.rpartition(":")
-        if not host or not port.isdecimal():
-            self._report(name, f"is no address: {text!r}")
+        try:
+            return Address.parse(text)
+        except ValueError as error:
+            self._report(name, f"is no address: {text!r}: {error}")
             return None
-        return Address(host, int(port))
 
     def _report(self, name, message):
         self.problems.append(f"{self._source_name}: {name} {message}")
--- /dev/null
+++ b/siskinthread/platform/_snapshots.py
@@ -0,0 +1,78 @@
+"""Snapshots that entry hosts hand to one another while the store refuses some of them.
+
+A snapshot holds the store's own records, so that the one that gets it decodes them as
+if it had read them itself.
+"""
+
+import json
+
+from siskinthread.errors import PlatformUnavailableError
+from siskinthread.gateway import Snapshot, STATUS_OK, StatusPage
+from siskinthread.platform._sources import (
+    CONFIGURATION_KEY,
+    ListedTargets,
+    PublishedTables,
+)
+from siskinthread.platform._store import KeyedRecord
+from siskinthread.shared_services import HttpClient, parse_json
+
+SERVICE = "peer"
+SNAPSHOT_PATH = "/snapshot"
+
+
+def snapshot_page(tables, targets, known_ids):
+    """Return the `StatusPage` of what this process knows.
+
+    Parameters
+    ----------
+    tables : PublishedTables
+        Source of the newest configuration.
+    targets : ListedTargets
+        Source of the newest records of targets.
+    known_ids : set of str
+        Targets that this process believes to be there.
+    """
+    document = {
+        "config": None if tables.newest is None else tables.newest.value.decode(),
+        "servers": {
+            key: record.value.decode()
+            for key, record in targets.newest.items()
+            if key in known_ids
+        },
+    }
+    return StatusPage(STATUS_OK, json.dumps(document).encode())
+
+
+async def fetch_snapshot(address, wait_s):
+    """Return the `siskinthread.gateway.Snapshot` of a peer.
+
+    Parameters
+    ----------
+    address : siskinthread.settings.Address
+        The peer.
+    wait_s : float
+        Longest wait, seconds.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If there was no readable answer in time.
+    """
+    http = HttpClient(SERVICE, address, wait_s)
+    try:
+        body = await http.get(SNAPSHOT_PATH)
+    finally:
+        await http.close()
+    document = parse_json(SERVICE, body)
+    try:
+        config, servers = document["config"], document["servers"]
+        records = [KeyedRecord(key, value.encode()) for key, value in servers.items()]
+        published = [] if config is None else [config.encode()]
+    except (KeyError, TypeError, AttributeError) as error:
+        raise PlatformUnavailableError(f"unreadable snapshot: {error!r}") from error
+    tables = PublishedTables(None).take(
+        [KeyedRecord(CONFIGURATION_KEY, value) for value in published]
+    )
+    changes = ListedTargets(None).take(records)
+    entries = [change.entry for change in changes if change.entry is not None]
+    return Snapshot(tables[0] if tables else None, entries)
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -22,17 +22,23 @@
     ----------
     store : StoreClient
         The store.
+
+    Attributes
+    ----------
+    newest : KeyedRecord or None
+        The newest record that could be read.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = ("_store", "newest")
 
     def __init__(self, store):
         self._store = store
+        self.newest = None
 
     async def read_newest(self):
         """Return the newest readable table, or None, and a position."""
         records, position = await self._store.read_newest(CONFIGURATION_TOPIC)
-        tables = _read_tables(records)
+        tables = self.take(records)
         return (tables[-1] if tables else None), position
 
     async def read_changes(self, position, wait_s):
@@ -40,10 +46,21 @@
         records, position = await self._store.read_changes(
             CONFIGURATION_TOPIC, position, wait_s
         )
-        # Only the newest counts; reading each of a quick series would take time that
-        # requests need.
-        newest = [record for record in records if record.key == CONFIGURATION_KEY][-1:]
-        return _read_tables(newest), position
+        return self.take(records), position
+
+    def take(self, records):
+        """Return the table of the newest of some records, in a list, if it is one.
+
+        Reading each of a quick series would take time that requests need.
+        """
+        for record in records[::-1]:
+            if record.key != CONFIGURATION_KEY or record.value is None:
+                continue
+            table = _read(read_route_table, record)
+            if table is not None:
+                self.newest = record
+                return [table]
+        return []
 
 
 class ListedTargets:
@@ -53,47 +70,44 @@
     ----------
     store : StoreClient
         The store.
+
+    Attributes
+    ----------
+    newest : dict of str to KeyedRecord
+        The newest readable record of each target.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = ("_store", "newest")
 
     def __init__(self, store):
         self._store = store
+        self.newest = {}
 
     async def read_all(self):
         """Return every `TargetEntry` and a position."""
         records, position = await self._store.read_newest(TARGETS_TOPIC)
-        changes = _read_changes(records)
+        changes = self.take(records)
         entries = [change.entry for change in changes if change.entry is not None]
         return entries, position
 
     async def read_changes(self, position):
         """Return each `TargetChange` behind a position, and the next position."""
         records, position = await self._store.read_changes(TARGETS_TOPIC, position)
-        return _read_changes(records), position
-
-
-def _read_tables(records):
-    tables = []
-    for record in records:
-        if record.key != CONFIGURATION_KEY or record.value is None:
-            continue
-        table = _read(read_route_table, record)
-        if table is not None:
-            tables.append(table)
-    return tables
-
-
-def _read_changes(records):
-    changes = []
-    for record in records:
-        if record.value is None:
-            changes.append(TargetChange(record.key, None))
-            continue
-        entry = _read(read_target_entry, record)
-        if entry is not None:
-            changes.append(TargetChange(record.key, entry))
-    return changes
+        return self.take(records), position
+
+    def take(self, records):
+        """Return each `TargetChange` of some records."""
+        changes = []
+        for record in records:
+            if record.value is None:
+                self.newest.pop(record.key, None)
+                changes.append(TargetChange(record.key, None))
+                continue
+            entry = _read(read_target_entry, record)
+            if entry is not None:
+                self.newest[record.key] = record
+                changes.append(TargetChange(record.key, entry))
+        return changes
 
 
 def _read(read, record):
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -241,11 +241,13 @@
     status = curio.tcp_server_socket("127.0.0.1", 0)
     system.address = listening.getsockname()
     system.status_address = status.getsockname()
+    pages = {
+        "/ready": system.gateway.ready_page,
+        "/metrics": system.gateway.metrics_page,
+    }
     tasks = [await curio.spawn(run) for run in system.gateway.tasks().values()]
     tasks.append(await curio.spawn(system.gateway.serve_callers, listening))
-    tasks.append(
-        await curio.spawn(system.gateway.serve_status, status, "/ready", "/metrics")
-    )
+    tasks.append(await curio.spawn(system.gateway.serve_pages, status, pages))
     for task in tasks:
         stack.push_async_callback(task.cancel)
     await until(lambda: system.gateway.unready_reason() is None or not system.servers)
