--- a/siskinthread/gateway/__init__.py
+++ b/siskinthread/gateway/__init__.py
@@ -2,8 +2,9 @@
 
 Interface: ``Gateway(settings, failure_domain, wire, table_source, target_source, clock,
 metrics, random)``; ``tasks()``, ``async serve_callers(listening socket)``, ``async
-serve_pages(listening socket, pages)``, ``async drain(deadline)``.  The sources hand in `RouteTable` and
-`TargetEntry` objects, the wire reads and writes headers; see `Gateway`.
+serve_pages(listening socket, pages)``, ``async drain(deadline)``.  The sources hand in
+`RouteTable` and `TargetEntry` objects, the wire reads and writes headers; see
+`Gateway`.
 """
 
 from siskinthread.gateway._following import Snapshot, TargetChange
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -101,7 +101,7 @@
         self._dependencies = dependencies
 
     def confirm_by(self, dependency):
-        """Take the answers of one more `Dependency` for a confirmation of the routes."""
+        """Let the answers of one more `Dependency` confirm the routes."""
         self._dependencies.append(dependency)
 
     def table_age_s(self):
--- /dev/null
+++ b/siskinthread/peer_news/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the news between entry hosts."""
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -9,6 +9,7 @@
 
 from siskinthread.gateway import Gateway, GatewaySettings
 from siskinthread.observability import Metrics
+from siskinthread.platform._snapshots import fetch_snapshot
 from siskinthread.platform._sources import ListedTargets, PublishedTables
 from siskinthread.platform._store import StoreClient
 from siskinthread.platform._wire import PlatformWire
@@ -84,6 +85,30 @@
     return values | fields
 
 
+class FakePeers:
+    """Stands for the news of other entries."""
+
+    def __init__(self):
+        self.version = 0
+        self.informed = []
+        self.describe = None
+
+    async def run(self):
+        """Exchange nothing."""
+
+    def has_fresh_news(self):
+        """Tell of no loads."""
+        return False
+
+    def newest_version(self):
+        """Return the version that a peer is said to have."""
+        return self.version
+
+    def informed_peers(self):
+        """Return the peers that are said to be informed."""
+        return self.informed
+
+
 class System:
     """The parts of a running system."""
 
@@ -95,6 +120,9 @@
         self.address = None
         self.status_address = None
         self.store_address = None
+        self.peers = FakePeers()
+        self.tables = None
+        self.targets = None
         self._numbers = itertools.count(1)
 
     async def list_servers(self):
@@ -205,6 +233,7 @@
 async def running(server_count, document, settings):
     """Run a system for the length of a block."""
     values = {"target_interval_s": 0.05, "source_retry_s": 0.02, "table_wait_s": 5.0}
+    values |= {"snapshot_interval_s": 0.05}
     values |= {"watch_interval_s": 0.01, "balancer_notice_s": 0.05}
     system = System(values | settings)
     async with AsyncExitStack() as stack:
@@ -227,16 +256,19 @@
     metrics = Metrics()
     calls = metrics.counter("calls", "Calls.", ("call",))
     store = StoreClient(system.store_address, 0.3, calls)
+    system.tables = PublishedTables(store)
+    system.targets = ListedTargets(store)
     system.gateway = Gateway(
         system.settings,
         "a",
         PlatformWire(),
-        PublishedTables(store),
-        ListedTargets(store),
+        system.tables,
+        system.targets,
         SYSTEM_CLOCK,
         metrics,
         random.Random(1),
     )
+    system.gateway.hear_peers(system.peers, fetch_soon)
     listening = curio.tcp_server_socket("127.0.0.1", 0)
     status = curio.tcp_server_socket("127.0.0.1", 0)
     system.address = listening.getsockname()
@@ -253,6 +285,11 @@
     await until(lambda: system.gateway.unready_reason() is None or not system.servers)
 
 
+async def fetch_soon(address):
+    """Fetch a snapshot as the daemon does."""
+    return await fetch_snapshot(address, wait_s=0.3)
+
+
 async def until(condition, limit_s=5.0):
     """Wait until a condition holds."""
     async with curio.timeout_after(limit_s):
--- /dev/null
+++ b/siskinthread/platform/tests/test_outages.py
@@ -0,0 +1,112 @@
+"""What entries know while the store turns some of them away."""
+
+import json
+
+from siskinthread.gateway import StatusPage
+from siskinthread.platform._snapshots import snapshot_page
+from siskinthread.platform._store import KeyedRecord
+from siskinthread.platform.tests.system import (
+    listed,
+    published,
+    run_system,
+    SAFE_PATH,
+    status_of,
+    until,
+)
+from siskinthread.settings import Address
+from standins._http_server import HttpServer
+
+OTHER = "i-other"
+
+
+def peer_handler(system, page):
+    """Return the handler of a peer that answers with a page."""
+
+    async def handle(request, exchange):
+        assert request.path == "/snapshot"
+        await exchange.answer(page.status, page.body)
+
+    return handle
+
+
+def page_of(system, document, entries):
+    """Return the snapshot page of a peer that knows a document and entries."""
+    tables = type(system.tables)(None)
+    targets = type(system.targets)(None)
+    tables.take([record("config", document)])
+    targets.take([record(key, value) for key, value in entries.items()])
+    return snapshot_page(tables, targets, set(entries))
+
+
+def record(key, value):
+    """Return a record of the store."""
+    return KeyedRecord(key, json.dumps(value).encode())
+
+
+def test_change_that_the_store_holds_back_is_read_again():
+    """Symptom: a revoked key still passes seconds later.
+
+    Events: the store never answers this host's waiting read, and serves its other
+    calls; a peer has the newer version.  Cause: nothing told this host to ask again.
+    """
+
+    async def test(system):
+        system.store.mode = "deaf"
+        await system.store.put("keyed.op", "config", published(2, keys=["new"]))
+        system.peers.version = 2
+        system.store.mode = "up"
+        await until(lambda: system.gateway.view.table.version == 2, limit_s=2.0)
+
+    run_system(test, table_wait_s=30.0)
+
+
+def test_host_that_is_turned_away_learns_from_a_peer():
+    """Symptom: requests go to a server that left, and a new key is refused.
+
+    Events: the store refuses this host for many seconds; meanwhile a key is added and
+    a server leaves, and peers know.
+    """
+
+    async def test(system):
+        server = system.servers[0]
+        page = page_of(system, published(7, keys=["new"]), {OTHER: listed(server)})
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.store.mode = "busy"
+            system.peers.informed = [Address(peer.host, peer.port)]
+            await until(lambda: system.gateway.view.table.version == 7)
+            await until(lambda: len(system.gateway.parts.targets.serving("app")) == 1)
+            accepted = await system.request(SAFE_PATH, key="new")
+            denied = await system.request(SAFE_PATH, key="never known")
+        return status_of(accepted), status_of(denied)
+
+    assert run_system(test) == (200, 401)
+
+
+def test_host_that_starts_turned_away_serves_by_what_a_peer_knows():
+    """Symptom: a restarted host refuses everything for as long as the store does."""
+
+    async def test(system):
+        page = page_of(system, published(3), {})
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.store.mode = "reset"
+            system.peers.informed = [Address(peer.host, peer.port)]
+            await until(lambda: system.gateway.view.table is not None)
+        return status_of(await system.request(SAFE_PATH))
+
+    # The one server of the snapshot is missing, so that the refusal names no table.
+    assert run_system(test, server_count=0) == 503
+
+
+def test_unreadable_snapshot_changes_nothing():
+    """A peer that answers nonsense is not believed."""
+
+    async def test(system):
+        page = StatusPage(200, b'{"config": 5}')
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.store.mode = "busy"
+            system.peers.informed = [Address(peer.host, peer.port)]
+            follower = system.gateway._snapshot_follower
+            await until(lambda: follower.dependency.is_lost)
+        return status_of(await system.request(SAFE_PATH))
+
+    assert run_system(test) == 200
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,8 +3,8 @@
 Run it with ``python -m standins.platform_store --port 0``.  It serves the calls that
 the project uses: appending, reading with a wait, the newest record of each key, and
 joining a group of members.  ``POST /faults`` takes ``mode``: "up", "busy" (503),
-"silent" (no answer) or "reset"; and ``forget``: a topic whose records are dropped but
-for the newest of each key.
+"silent" (no answer), "reset", or "deaf" (reads that wait hear of no change); and
+``forget``: a topic whose records are dropped but for the newest of each key.
 """
 
 import argparse
@@ -73,7 +73,7 @@
     Attributes
     ----------
     mode : str
-        "up", "busy", "silent" or "reset".
+        "up", "busy", "silent", "reset" or "deaf".
     calls : list of str
         Paths of the calls so far.
     """
@@ -143,6 +143,8 @@
         if start >= topic.end and wait_s:
             async with topic.added:
                 await curio.ignore_after(wait_s, topic.added.wait)
+            if self.mode == "deaf":
+                await curio.sleep(FOR_EVER_S)
         if self.mode == "silent":
             await curio.sleep(FOR_EVER_S)
         body = b"".join(
