Make the test of a held-back change fail without its cause's mend

It passed then: the stand-in came back before its waiting read had missed the change. It now waits for that, fails without the second read and passes with it; both were run.

--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -2,6 +2,8 @@
 
 import json
 
+import curio
+
 from siskinthread.gateway import StatusPage
 from siskinthread.platform._snapshots import snapshot_page
 from siskinthread.platform._store import KeyedRecord
@@ -53,8 +55,11 @@
     async def test(system):
         system.store.mode = "deaf"
         await system.store.put("keyed.op", "config", published(2, keys=["new"]))
-        system.peers.version = 2
+        # The waiting read has missed it, and will never be answered.
+        await curio.sleep(0.05)
         system.store.mode = "up"
+        assert system.gateway.view.table.version == 1
+        system.peers.version = 2
         await until(lambda: system.gateway.view.table.version == 2, limit_s=2.0)
 
     run_system(test, table_wait_s=30.0)
