--- a/siskinthread/group_maps/__init__.py
+++ b/siskinthread/group_maps/__init__.py
@@ -14,6 +14,7 @@
 from siskinthread.group_maps._layout import (
     ExpertLayout,
     GroupMap,
+    PassModel,
     rank_loads,
     relative_pass_time,
 )
@@ -52,6 +53,7 @@
     "MapChange",
     "MapMeasures",
     "OrderResult",
+    "PassModel",
     "Plan",
     "Prepare",
     "RankCounts",
--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -54,6 +54,7 @@
         "_next_sample",
         "_passes",
         "_ranks",
+        "_reports",
         "_settings",
         "_unsettled_since_s",
         "_version_floor",
@@ -70,6 +71,7 @@
         self._demand = Demand(settings)
         self._epoch = None
         self._map = None
+        self._reports = []
         self._unsettled_since_s = None
         self._passes = _PassTimes(clock)
         self._next_sample = 0
@@ -99,13 +101,16 @@
             return True
         await self._count()
         if self._demand.loads_by_set is None:
-            return False
+            # The first look tells nothing by itself; a second one soon does.
+            await curio.sleep(self._settings.first_interval_s)
+            return True
         return await self._plan_and_change()
 
     async def _is_undisturbed(self):
         """Return whether the group runs, and no other change is under way in it."""
-        report = await self._ranks.clients[0].report(self._settings.order_wait_s)
-        if not report.is_open:
+        self._reports = reports = await self._ranks.reports()
+        report = reports[0]
+        if any(not one.is_open or one.epoch != report.epoch for one in reports):
             self._epoch = None
             return False
         self._passes.note(report)
@@ -154,10 +159,15 @@
     async def _plan_and_change(self):
         version = max(self._map.version, self._version_floor) + 1
         plan = plan_change(
-            self._map, self._demand.loads_by_set, self._layout, self._settings, version
+            self._map,
+            self._demand.loads_by_set,
+            [one.slowness for one in self._reports],
+            self._layout,
+            self._settings,
+            version,
         )
         self._measures.relative_pass_time(self._group_name, plan.time_before)
-        if plan.gain < self._settings.least_gain:
+        if not self._is_worth_it(plan):
             return False
         result = await self._change.run(
             self._epoch, self._map, plan.group_map, self._passes.pass_s
@@ -181,6 +191,18 @@
         await self._take_up(result)
         return False
 
+    def _is_worth_it(self, plan):
+        """Return whether a plan is worth its orders and copies.
+
+        While passes are short, streams are on time with an uneven map as well.
+        """
+        settings = self._settings
+        running = sum(one.running for one in self._reports) / len(self._reports)
+        pass_s = self._layout.model.even_pass_s(running) * plan.time_before
+        if pass_s < settings.short_pass_s:
+            return plan.gain >= settings.least_gain_of_short
+        return plan.gain >= settings.least_gain
+
     async def _take_up(self, result):
         """Go on after a change that did not come into force."""
         if result is ChangeResult.LEFT_HELD:
--- a/siskinthread/group_maps/_layout.py
+++ b/siskinthread/group_maps/_layout.py
@@ -3,6 +3,31 @@
 from siskinthread.errors import InvariantError
 
 
+class PassModel:
+    """What the time of a pass of evenly loaded ranks is made of.
+
+    Parameters
+    ----------
+    expert_share : float
+        Part of the work for a token that its experts do.
+    fixed_s : float
+        Time of a pass without requests, seconds.
+    request_s : float
+        Time that each request of a rank adds, seconds.
+    """
+
+    __slots__ = ("expert_share", "fixed_s", "request_s")
+
+    def __init__(self, expert_share, fixed_s, request_s):
+        self.expert_share = expert_share
+        self.fixed_s = fixed_s
+        self.request_s = request_s
+
+    def even_pass_s(self, running):
+        """Return the time of a pass with `running` requests at each rank, seconds."""
+        return self.fixed_s + self.request_s * running
+
+
 class ExpertLayout:
     """Shape of the expert maps of a model service.
 
@@ -16,8 +41,8 @@
         Most experts that a rank holds of a set.
     spare_count : int
         Most experts of a set that one change may bring to a rank.
-    expert_share : float
-        Part of the work for a token that its experts do.
+    model : PassModel
+        Time of a pass.
     copy_s : float
         Time that a rank takes to copy one expert, seconds.
     report_lag_s : float
@@ -27,7 +52,7 @@
     __slots__ = (
         "copy_s",
         "expert_count",
-        "expert_share",
+        "model",
         "place_count",
         "report_lag_s",
         "set_count",
@@ -40,7 +65,7 @@
         expert_count,
         place_count,
         spare_count,
-        expert_share,
+        model,
         copy_s,
         report_lag_s,
     ):
@@ -48,7 +73,7 @@
         self.expert_count = expert_count
         self.place_count = place_count
         self.spare_count = spare_count
-        self.expert_share = expert_share
+        self.model = model
         self.copy_s = copy_s
         self.report_lag_s = report_lag_s
 
@@ -111,14 +136,27 @@
     return counts
 
 
-def relative_pass_time(holdings, loads_by_set, expert_share):
-    """Return the time of a pass relative to evenly loaded ranks.
+def relative_pass_time(holdings, loads_by_set, expert_share, slowness):
+    """Return the time of a pass relative to evenly loaded ranks of the usual speed.
 
-    Set by set the group waits for its most loaded rank.
+    Set by set the group waits for the rank that takes longest.
+
+    Parameters
+    ----------
+    holdings : list of list of collection of int
+        Experts by set and rank.
+    loads_by_set : list of list of float
+        Load of each expert by set.
+    expert_share : float
+        Part of the work that experts do.
+    slowness : list of float
+        Time of each rank for the same work, relative to the usual.
     """
     ratios = []
     for ranks, loads in zip(holdings, loads_by_set, strict=True):
         by_rank = rank_loads(ranks, loads)
         mean = sum(by_rank) / len(by_rank)
-        ratios.append(max(by_rank) / mean if mean else 1.0)
-    return 1 - expert_share + expert_share * sum(ratios) / len(ratios)
+        slowest = max(load * slow for load, slow in zip(by_rank, slowness, strict=True))
+        ratios.append(slowest / mean if mean else 1.0)
+    own = (1 - expert_share) * max(slowness)
+    return own + expert_share * sum(ratios) / len(ratios)
--- a/siskinthread/group_maps/_orders.py
+++ b/siskinthread/group_maps/_orders.py
@@ -28,6 +28,10 @@
         The change that is to come into force.
     held_pass : int or None
         The pass that the group must not begin.
+    running : int
+        Requests that the rank runs.
+    slowness : float
+        Time that the rank takes for the same work, relative to the usual.
     """
 
     __slots__ = (
@@ -40,7 +44,9 @@
         "pass_number",
         "prepared_version",
         "rank",
+        "running",
         "size",
+        "slowness",
     )
 
     def __init__(
@@ -55,6 +61,8 @@
         prepared_version,
         armed,
         held_pass,
+        running=0,
+        slowness=1.0,
     ):
         self.group_name = group_name
         self.epoch = epoch
@@ -66,6 +74,8 @@
         self.prepared_version = prepared_version
         self.armed = armed
         self.held_pass = held_pass
+        self.running = running
+        self.slowness = slowness
 
 
 class ArmedMap:
--- a/siskinthread/group_maps/_planner.py
+++ b/siskinthread/group_maps/_planner.py
@@ -45,7 +45,7 @@
         return 1 - self.time_after / self.time_before
 
 
-def plan_change(group_map, loads_by_set, layout, settings, version):
+def plan_change(group_map, loads_by_set, slowness, layout, settings, version):
     """Return the `Plan` of the next change.
 
     Parameters
@@ -54,6 +54,9 @@
         The map in force.
     loads_by_set : list of list of float
         Load of each expert by set.
+    slowness : list of float
+        Time of each rank for the same work, relative to the usual.  A slow rank holds
+        all others back; it gets less to do.
     layout : ExpertLayout
         Shape of the maps.
     settings : GroupMapSettings
@@ -64,7 +67,7 @@
     rank_count = len(group_map.holdings[0])
     copies_left = [settings.copies_limit] * rank_count
     searches = [
-        _SetSearch([set(rank) for rank in ranks], loads, layout)
+        _SetSearch([set(rank) for rank in ranks], loads, slowness, layout)
         for ranks, loads in zip(group_map.holdings, loads_by_set, strict=True)
     ]
     while True:
@@ -75,10 +78,11 @@
         best.search.take(best)
         copies_left[best.rank] -= 1
     holdings = [[tuple(sorted(rank)) for rank in search.ranks] for search in searches]
+    share = layout.model.expert_share
     return Plan(
         GroupMap(version, holdings, layout.expert_count),
-        relative_pass_time(group_map.holdings, loads_by_set, layout.expert_share),
-        relative_pass_time(holdings, loads_by_set, layout.expert_share),
+        relative_pass_time(group_map.holdings, loads_by_set, share, slowness),
+        relative_pass_time(holdings, loads_by_set, share, slowness),
     )
 
 
@@ -104,12 +108,15 @@
         Experts of each rank; changed by `take`.
     loads : list of float
         Load of each expert.
+    slowness : list of float
+        Time of each rank for the same work, relative to the usual.
     layout : ExpertLayout
         Shape of the maps.
     """
 
-    def __init__(self, ranks, loads, layout):
+    def __init__(self, ranks, loads, slowness, layout):
         self.ranks = ranks
+        self._slowness = slowness
         total = sum(loads) or 1.0
         # Relative to the mean load of a rank, so that sets can be compared.
         self._loads = [load * len(ranks) / total for load in loads]
@@ -140,10 +147,13 @@
     def _search(self, allowed):
         by_rank = rank_loads(self.ranks, self._loads)
         replicas = replica_counts(self.ranks, len(self._loads))
-        before = _norm(by_rank)
+        before = self._norm(by_rank)
         best = _Step(self, 0.0)
-        hottest = max(range(len(by_rank)), key=by_rank.__getitem__)
-        coolest = sorted(range(len(by_rank)), key=by_rank.__getitem__)
+        times = [
+            load * slow for load, slow in zip(by_rank, self._slowness, strict=True)
+        ]
+        hottest = max(range(len(times)), key=times.__getitem__)
+        coolest = sorted(range(len(times)), key=times.__getitem__)
         experts = sorted(
             self.ranks[hottest],
             key=lambda expert: self._loads[expert] / replicas[expert],
@@ -158,7 +168,7 @@
             for rank in takers[:RANK_CANDIDATES]:
                 for evicted in self._evictions(rank, replicas):
                     after = self._after(by_rank, replicas, expert, rank, evicted)
-                    gain = before - _norm(after)
+                    gain = before - self._norm(after)
                     if gain > best.gain:
                         best = _Step(self, gain, expert, rank, evicted)
         return best
@@ -187,6 +197,9 @@
             after[rank] -= load / (count - 1)
         return after
 
-
-def _norm(by_rank):
-    return sum(load**NORM for load in by_rank) ** (1 / NORM)
+    def _norm(self, by_rank):
+        total = sum(
+            (load * slow) ** NORM
+            for load, slow in zip(by_rank, self._slowness, strict=True)
+        )
+        return total ** (1 / NORM)
--- a/siskinthread/group_maps/_settings.py
+++ b/siskinthread/group_maps/_settings.py
@@ -13,6 +13,13 @@
         description="Time between two looks at the demand for experts. Each look is "
         "paid for, and the group pauses 0.5 ms for 400 counts.",
     )
+    first_interval_s = Item(
+        float,
+        default=0.3,
+        minimum=0.05,
+        description="Time between the first two looks of a new controller. A rank "
+        "serves some hundred tokens in it.",
+    )
     sample_rank_count = Item(
         int,
         default=2,
@@ -48,6 +55,20 @@
         description="Least part of the time of a pass for which a map is changed; "
         "copying makes passes 15 in 100 longer while it lasts.",
     )
+    short_pass_s = Item(
+        float,
+        default=0.08,
+        minimum=0.0,
+        description="Reckoned time of a pass below which streams are on time anyway; "
+        "two thirds of the 0.12 s that may lie between events.",
+    )
+    least_gain_of_short = Item(
+        float,
+        default=0.3,
+        minimum=0.0,
+        description="Least part of the time of a short pass for which a map is "
+        "changed.",
+    )
     order_wait_s = Item(
         float,
         default=0.1,
--- a/siskinthread/group_maps/tests/test_change.py
+++ b/siskinthread/group_maps/tests/test_change.py
@@ -15,6 +15,7 @@
     Hold,
     MapChange,
     OrderResult,
+    PassModel,
     Prepare,
 )
 from siskinthread.group_maps.tests.fake_group import (
@@ -28,7 +29,8 @@
 RANKS = 2
 FIRST = [[(0, 1), (2, 3)]]
 SECOND = [[(0, 1, 2), (2, 3)]]
-LAYOUT = ExpertLayout(1, 4, 3, 1, 0.85, copy_s=0.0, report_lag_s=0.0)
+MODEL = PassModel(0.85, fixed_s=0.03, request_s=0.005)
+LAYOUT = ExpertLayout(1, 4, 3, 1, MODEL, copy_s=0.0, report_lag_s=0.0)
 SETTINGS = GroupMapSettings(order_tries=3, prepare_margin_s=0.01)
 # With one try, a single fault leaves an order without any answer.
 ONE_TRY = GroupMapSettings(order_tries=1, prepare_margin_s=0.01)
--- a/siskinthread/group_maps/tests/test_planner.py
+++ b/siskinthread/group_maps/tests/test_planner.py
@@ -8,13 +8,16 @@
     ExpertLayout,
     GroupMap,
     GroupMapSettings,
+    PassModel,
     plan_change,
     relative_pass_time,
 )
 
-LAYOUT = ExpertLayout(2, 16, 6, 2, 0.85, copy_s=0.1, report_lag_s=0.2)
+MODEL = PassModel(0.85, fixed_s=0.03, request_s=0.005)
+LAYOUT = ExpertLayout(2, 16, 6, 2, MODEL, copy_s=0.1, report_lag_s=0.2)
 SETTINGS = GroupMapSettings(copies_limit=3)
 RANKS = 4
+EVEN = [1.0] * RANKS
 
 
 def first_map():
@@ -39,7 +42,7 @@
     loads = skewed(seed)
     group_map = first_map()
     for version in range(1, 4):
-        plan = plan_change(group_map, loads, LAYOUT, SETTINGS, version)
+        plan = plan_change(group_map, loads, EVEN, LAYOUT, SETTINGS, version)
         assert plan.time_after <= plan.time_before
         assert group_map.new_experts(plan.group_map) <= SETTINGS.copies_limit
         for ranks, before in zip(
@@ -56,11 +59,11 @@
     """Three changes of three copies bring a hot expert's group near to even."""
     loads = [[20.0] + [1.0] * 15, [1.0] * 15 + [20.0]]
     group_map = first_map()
-    before = relative_pass_time(group_map.holdings, loads, LAYOUT.expert_share)
+    before = relative_pass_time(group_map.holdings, loads, MODEL.expert_share, EVEN)
     for version in range(1, 4):
-        plan = plan_change(group_map, loads, LAYOUT, SETTINGS, version)
+        plan = plan_change(group_map, loads, EVEN, LAYOUT, SETTINGS, version)
         group_map = plan.group_map
-    after = relative_pass_time(group_map.holdings, loads, LAYOUT.expert_share)
+    after = relative_pass_time(group_map.holdings, loads, MODEL.expert_share, EVEN)
     assert before > 2.0
     assert after < 1.15
 
@@ -68,6 +71,25 @@
 def test_even_demand_changes_nothing():
     """Without a gain nothing is copied."""
     loads = [[1.0] * 16] * 2
-    plan = plan_change(first_map(), loads, LAYOUT, SETTINGS, 1)
+    plan = plan_change(first_map(), loads, EVEN, LAYOUT, SETTINGS, 1)
     assert plan.gain == 0
     assert plan.group_map.holdings == first_map().holdings
+
+
+def test_slow_rank_gets_less_to_do():
+    """Symptom: a whole group is slow for as long as one of its ranks is.
+
+    Events: one rank takes twice as long for the same work.  Part of its experts' load
+    goes to replicas on other ranks.
+    """
+    slowness = [2.0, 1.0, 1.0, 1.0]
+    loads = [[1.0] * 16] * 2
+    group_map = first_map()
+    share = MODEL.expert_share
+    before = relative_pass_time(group_map.holdings, loads, share, slowness)
+    for version in range(1, 4):
+        plan = plan_change(group_map, loads, slowness, LAYOUT, SETTINGS, version)
+        group_map = plan.group_map
+    after = relative_pass_time(group_map.holdings, loads, share, slowness)
+    assert before == 2.0
+    assert after < 1.6
--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -10,7 +10,7 @@
     Service,
     ServiceShare,
 )
-from siskinthread.group_maps import ExpertLayout
+from siskinthread.group_maps import ExpertLayout, PassModel
 
 MILLISECONDS_PER_SECOND = 1000
 BITS_PER_BYTE = 8
@@ -100,7 +100,11 @@
         int(engine["experts"]),
         int(engine["places"]),
         int(engine["spare"]),
-        float(engine["expert_share"]),
+        PassModel(
+            float(engine["expert_share"]),
+            int(engine["stride"]) * engine["step_ms"] / MILLISECONDS_PER_SECOND,
+            int(engine["stride"]) * engine["per_seq_ms"] / MILLISECONDS_PER_SECOND,
+        ),
         engine["expert_mb"] * BITS_PER_BYTE / engine["link_mbps"],
         engine["report_lag_ms"] / MILLISECONDS_PER_SECOND,
     )
--- a/siskinthread/platform/_rank_client.py
+++ b/siskinthread/platform/_rank_client.py
@@ -121,6 +121,9 @@
         prepared_version=None if prepared is None else int(prepared),
         armed=_read_armed(document.get("armed")),
         held_pass=document.get("held"),
+        running=int(document.get("running", 0)),
+        # "pace" is the time for a unit of work, so that a slow rank has a high one.
+        slowness=float(document.get("pace", 1.0)),
     )
 
 
