--- a/siskinthread/group_maps/_settings.py
+++ b/siskinthread/group_maps/_settings.py
@@ -59,7 +59,7 @@
     )
     sample_rank_count = Item(
         int,
-        default=2,
+        default=1,
         minimum=1,
         description="Ranks whose counts are read at a look; requests are spread "
         "evenly over ranks, so that a few stand for all.",
