--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -20,6 +20,8 @@
 # engines' 0.03 s and a fully loaded group's 0.1 s.
 USUAL_PASS_S = 0.06
 LEAST_PASS_S = 0.02
+# Two controllers choose the same version once in a million plans made at once.
+VERSION_STEP = 1_000_000
 LONGEST_PASS_S = 1.0
 
 
@@ -40,6 +42,8 @@
         Clocks.
     measures : MapMeasures
         Metrics.
+    random : random.Random
+        For versions of maps.
     """
 
     __slots__ = (
@@ -55,6 +59,7 @@
         "_measures",
         "_next_sample",
         "_passes",
+        "_random",
         "_ranks",
         "_reports",
         "_settings",
@@ -62,7 +67,8 @@
         "_version_floor",
     )
 
-    def __init__(self, group_name, ranks, layout, settings, clock, measures):
+    def __init__(self, group_name, ranks, layout, settings, clock, measures, random):
+        self._random = random
         self._group_name = group_name
         self._ranks = ranks
         self._layout = layout
@@ -194,7 +200,7 @@
         self._demand.note(counts)
 
     async def _plan_and_change(self):
-        version = max(self._map.version, self._version_floor) + 1
+        version = self._next_version()
         plan = plan_change(
             self._map,
             self._demand.loads_by_set,
@@ -233,6 +239,15 @@
         await self._take_up(result)
         return False
 
+    def _next_version(self):
+        """Return a version that no other map of the group has.
+
+        Two controllers that plan at the same time must not give one version to two
+        maps: ranks would take either for prepared, and a pass would mix them.
+        """
+        known = max(self._version_floor, highest_version(self._reports))
+        return known + self._random.randint(1, VERSION_STEP)
+
     def _is_worth_it(self, plan):
         """Return whether a plan is worth its orders and copies.
 
--- a/siskinthread/group_maps/_directory.py
+++ b/siskinthread/group_maps/_directory.py
@@ -51,6 +51,11 @@
         ----------
         entries : list of siskinthread.gateway.TargetEntry
             All model engines that are listed.
+
+        Returns
+        -------
+        bool
+            Whether there are any, and the place of each is known.
         """
         known = {entry.instance_id for entry in entries}
         for instance_id in set(self._clients) - known:
@@ -59,6 +64,7 @@
         for entry in entries:
             if entry.instance_id not in self._places:
                 await self._ask(entry)
+        return bool(entries) and len(self._places) == len(known)
 
     async def _ask(self, entry):
         client = self._clients.get(entry.instance_id)
--- a/siskinthread/group_maps/_duty.py
+++ b/siskinthread/group_maps/_duty.py
@@ -31,6 +31,8 @@
         Clocks.
     measures : MapMeasures
         Metrics.
+    random : random.Random
+        For versions of maps.
 
     Notes
     -----
@@ -46,11 +48,15 @@
         "_find_layout",
         "_held",
         "_measures",
+        "_random",
         "_settings",
         "_shares",
     )
 
-    def __init__(self, directory, shares, find_layout, settings, clock, measures):
+    def __init__(
+        self, directory, shares, find_layout, settings, clock, measures, random
+    ):
+        self._random = random
         self._directory = directory
         self._shares = shares
         self._find_layout = find_layout
@@ -64,10 +70,14 @@
     async def run(self):
         """Hold the shares and control their groups until cancelled."""
         try:
+            next_renewal = Deadline.after(self._clock, 0.0)
             while True:
-                await self._renew()
+                if next_renewal.passed():
+                    wait_s = self._settings.renew_interval_s
+                    next_renewal = Deadline.after(self._clock, wait_s)
+                    await self._renew()
                 await self._reconcile()
-                await curio.sleep(self._settings.renew_interval_s)
+                await curio.sleep(self._settings.reconcile_interval_s)
         finally:
             await self._stop_all()
 
@@ -104,7 +114,13 @@
             return
         ranks = GroupRanks(list(clients.values()), self._settings)
         controller = GroupController(
-            name, ranks, layout, self._settings, self._clock, self._measures
+            name,
+            ranks,
+            layout,
+            self._settings,
+            self._clock,
+            self._measures,
+            self._random,
         )
         task = await curio.spawn(controller.run, daemon=True)
         self._controllers[name] = (list(clients), task)
--- a/siskinthread/group_maps/_settings.py
+++ b/siskinthread/group_maps/_settings.py
@@ -153,6 +153,13 @@
         minimum=0.05,
         description="Time between two renewals of the shares of groups.",
     )
+    reconcile_interval_s = Item(
+        float,
+        default=0.25,
+        minimum=0.05,
+        description="Time between two looks at which groups are complete and fall to "
+        "this process; part of the time until maps change again after a restart.",
+    )
     share_lapse_s = Item(
         float,
         default=3.0,
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -48,6 +48,8 @@
 PEER_ANSWER_WAIT_S = 0.3
 SETTINGS_INTERVAL_S = 2.0
 GROUPS_INTERVAL_S = 1.0
+# While ranks are unknown, as after a start, maps can't change.
+RANKS_RETRY_S = 0.25
 
 _logger = part_logger("platform")
 
@@ -123,6 +125,7 @@
             group_settings,
             SYSTEM_CLOCK,
             MapMeasures(metrics),
+            random.Random(),
         )
 
     async def run(self):
@@ -175,8 +178,9 @@
         while True:
             entries = self._gateway.parts.targets.entries()
             ranks = [entry for entry in entries if self._layout(entry) is not None]
-            await self._directory.refresh(ranks)
-            await curio.sleep(GROUPS_INTERVAL_S)
+            is_complete = await self._directory.refresh(ranks)
+            interval_s = GROUPS_INTERVAL_S if is_complete else RANKS_RETRY_S
+            await curio.sleep(interval_s)
 
     def _build_rank_client(self, entry):
         return RankClient(entry, self._layout(entry), self._rank_calls)
