--- /dev/null
+++ b/siskinthread/group_maps/tests/test_duty.py
@@ -0,0 +1,203 @@
+"""Which groups a process knows and controls, and what its controller does there."""
+
+import random
+
+import curio
+
+from siskinthread.errors import PlatformUnavailableError, TargetError
+from siskinthread.group_maps import (
+    ExpertLayout,
+    GroupController,
+    GroupDirectory,
+    GroupDuty,
+    GroupMapSettings,
+    GroupRanks,
+    MapMeasures,
+    PassModel,
+    RankCounts,
+    Shares,
+)
+from siskinthread.group_maps.tests.fake_group import FakeClient, FakeGroup
+from siskinthread.observability import Metrics
+from siskinthread.timing import SYSTEM_CLOCK
+
+RANKS = 2
+HOLDINGS = [[(0, 1), (2, 3)]]
+# Passes that are always long, so that each gain counts.
+MODEL = PassModel(0.85, fixed_s=1.0, request_s=0.0)
+LAYOUT = ExpertLayout(1, 4, 3, 1, MODEL, copy_s=0.0, report_lag_s=0.01)
+SETTINGS = GroupMapSettings(
+    glance_interval_s=0.01,
+    first_interval_s=0.05,
+    renew_interval_s=0.02,
+    reconcile_interval_s=0.01,
+    share_lapse_s=0.1,
+    failure_wait_s=0.02,
+    stuck_limit_s=0.1,
+    order_tries=3,
+)
+HANG_S = 5.0
+
+
+class Entry:
+    """An entry of the target list."""
+
+    def __init__(self, instance_id):
+        self.instance_id = instance_id
+
+
+class CountingClient(FakeClient):
+    """A rank whose requests choose the first expert more and more."""
+
+    def __init__(self, group, number, holdings):
+        super().__init__(group, number, holdings)
+        self.is_silent = False
+        self._tokens = 0
+
+    async def report(self, wait_s):
+        """Report, unless silent."""
+        if self.is_silent:
+            raise TargetError("silent")
+        self._group.advance()
+        return await super().report(wait_s)
+
+    async def counts(self, wait_s):
+        """Count one more second of requests."""
+        self._tokens += 100
+        one_set = [3 * self._tokens, 0, self._tokens, 0]
+        return RankCounts(self._group.epoch, self._group.pass_number, [one_set])
+
+
+class FakeShares:
+    """Deals out all shares, until it is told to fail."""
+
+    def __init__(self):
+        self.is_lost = False
+        self.numbers = {0, 1, 2, 3}
+
+    async def renew(self):
+        """Return the shares."""
+        if self.is_lost:
+            raise PlatformUnavailableError("lost")
+        return Shares(self.numbers, 4)
+
+
+def build(group):
+    """Return a duty for one group, with its parts."""
+    clients = {
+        f"i-{number}": CountingClient(group, number, HOLDINGS)
+        for number in range(RANKS)
+    }
+    directory = GroupDirectory(lambda entry: clients[entry.instance_id], SETTINGS)
+    shares = FakeShares()
+    duty = GroupDuty(
+        directory,
+        shares,
+        lambda instance_id: LAYOUT,
+        SETTINGS,
+        SYSTEM_CLOCK,
+        MapMeasures(Metrics()),
+        random.Random(1),
+    )
+    return duty, directory, shares, clients
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    async with curio.timeout_after(HANG_S):
+        while not condition():
+            await curio.sleep(0.005)
+
+
+def test_group_is_known_once_all_its_ranks_are():
+    """A group of which one rank did not answer can't be controlled."""
+
+    async def main():
+        _, directory, _, clients = build(FakeGroup(RANKS))
+        entries = [Entry(one) for one in clients]
+        clients["i-1"].is_silent = True
+        first = await directory.refresh(entries)
+        partial = directory.complete_groups()
+        clients["i-1"].is_silent = False
+        second = await directory.refresh(entries)
+        whole = directory.complete_groups()
+        await directory.refresh(entries[:1])
+        return first, partial, second, list(whole["g"]), directory.complete_groups()
+
+    first, partial, second, whole, after = curio.run(main)
+    assert (first, partial) == (False, {})
+    assert (second, whole) == (True, ["i-0", "i-1"])
+    assert after == {}
+
+
+def test_uneven_group_gets_a_better_map():
+    """Skewed demand is noticed, and the hot expert gets a second place."""
+
+    async def main():
+        group = FakeGroup(RANKS)
+        duty, directory, _, clients = build(group)
+        await directory.refresh([Entry(one) for one in clients])
+        task = await curio.spawn(duty.run)
+        await until(lambda: all(rank.version > 0 for rank in group.ranks))
+        await task.cancel()
+        return group
+
+    group = curio.run(main)
+    assert not group.mixed_passes
+    assert len({rank.version for rank in group.ranks}) == 1
+
+
+def test_lapsed_shares_end_the_control():
+    """Symptom: two processes control one group for long.
+
+    Events: the service that deals out shares is lost for longer than they last.
+    """
+
+    async def main():
+        duty, directory, shares, clients = build(FakeGroup(RANKS))
+        await directory.refresh([Entry(one) for one in clients])
+        task = await curio.spawn(duty.run)
+        await until(lambda: duty._controllers)
+        shares.is_lost = True
+        await until(lambda: not duty._controllers)
+        shares.is_lost = False
+        await until(lambda: duty._controllers)
+        await task.cancel()
+        return duty._controllers
+
+    assert curio.run(main) == {}
+
+
+def test_each_group_falls_to_one_process():
+    """Shares that are dealt out evenly leave no group out and none twice."""
+    holders = [Shares({0, 1}, 8), Shares({2, 3, 4}, 8), Shares({5, 6, 7}, 8)]
+    for number in range(200):
+        name = f"g{number}"
+        assert sum(one.contains(name) for one in holders) == 1
+
+
+def test_controller_goes_on_after_ranks_that_did_not_answer():
+    """Symptom: maps are never changed again after a cut."""
+
+    async def main():
+        group = FakeGroup(RANKS)
+        clients = [CountingClient(group, number, HOLDINGS) for number in range(RANKS)]
+        controller = GroupController(
+            "g",
+            GroupRanks(clients, SETTINGS),
+            LAYOUT,
+            SETTINGS,
+            SYSTEM_CLOCK,
+            MapMeasures(Metrics()),
+            random.Random(1),
+        )
+        clients[1].is_silent = True
+        task = await curio.spawn(controller.run)
+        await curio.sleep(0.05)
+        before = [rank.version for rank in group.ranks]
+        clients[1].is_silent = False
+        await until(lambda: all(rank.version > 0 for rank in group.ranks))
+        await task.cancel()
+        return before
+
+    assert curio.run(main) == [0, 0]
