--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.installed
 
-.PHONY: test demo experts outage explore faults capacity shares pages format generate clean
+.PHONY: test demo gateway experts outage explore faults capacity shares pages format generate clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +18,11 @@
 
 demo: $(READY)
 	$(BIN)/python scripts/demo.py
+	$(BIN)/python scripts/demo_gateway.py
+
+# A gateway with direct targets, and three failed requests traced from their ids.
+gateway: $(READY)
+	$(BIN)/python scripts/demo_gateway.py
 
 experts: $(READY)
 	$(BIN)/python scripts/demo_experts.py
--- /dev/null
+++ b/scripts/demo_gateway.py
@@ -0,0 +1,216 @@
+"""Run a gateway with direct targets on loopback, and trace three failed requests.
+
+Started by ``make gateway`` and ``make demo``.  The last line is JSON with the status of
+each request; the exit status is 0 if they are as expected.
+"""
+
+import http.client
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from scripts._processes import free_ports, Processes  # noqa: E402
+from siskinthread.tracing import find_request  # noqa: E402
+
+HOST = "drafts.example"
+KEY = "demo-key"
+SERVERS = ("i-1", "i-2")
+START_WAIT_S = 10.0
+POLL_INTERVAL_S = 0.05
+# The log thread writes at once; this is for a busy machine.
+LOG_WAIT_S = 0.5
+SETTINGS = """
+node = "entry-1"
+zone = "a"
+ip = "127.0.0.1"
+internal_ports = [{peer}, {peer}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+grace_s = 3
+[platform]
+address = "{store}"
+parts = 8
+"""
+# Path and behaviour of the servers by name of the request, in the order of asking.  A
+# decline states a full server, so that the request after it is refused at once.
+FAULTS = {
+    "answered": ("/alert/2f", "answer"),
+    "streamed": ("/stream/2f", "stream"),
+    "continued": ("/stream/2f", "cut"),
+    "declined": ("/alert/2f", "decline"),
+    "also-declined": ("/alert/2f", "decline"),
+    "overloaded": ("/alert/2f", "answer"),
+    "late": ("/stream/2f", "slow"),
+    "unknown": ("/alert/2f", "lose"),
+}
+EXPECTED = {
+    "answered": 200,
+    "streamed": 200,
+    "continued": 200,
+    "declined": 503,
+    "also-declined": 503,
+    "overloaded": 503,
+    "late": 200,
+    "unknown": 502,
+}
+# Longer than the load that a server stated counts.
+REPORT_WAIT_S = 1.2
+
+
+def route(prefix, kind, **fields):
+    """Return a route as operators publish it."""
+    values = {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 400,
+        "target_gap_ms": 120,
+        "priority": 1,
+        "service": "drafts",
+        "attempts": 2,
+        "public": False,
+    }
+    return values | fields
+
+
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        route("/stream/", "streaming", resumable=True),
+        route("/alert/", "unsafe", attempts=1),
+    ],
+    "services": [{"name": "drafts", "health_path": "/health", "max_conns": 100}],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 65536,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "inspectorate", "api_keys": [KEY]}],
+}
+
+
+def call(address, method, path, body=b"", headers=None):
+    """Send one request; return its status and body."""
+    connection = http.client.HTTPConnection(*address, timeout=START_WAIT_S)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+def publish(store, topic, key, value):
+    """Write the newest record of a key to the store."""
+    content = bytes([len(key)]) + key.encode() + json.dumps(value).encode()
+    record = len(content).to_bytes(4, "big") + content
+    path = f"/siskinthread/log-append?topic={topic}&part=0"
+    call(store, "POST", path, record)
+
+
+def ask(gateway, request_id, path):
+    """Send a caller's request; return its status."""
+    headers = {
+        "Host": HOST,
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "4000",
+        "Authorization": f"Token {KEY}",
+    }
+    return call(gateway, "POST", path, b"report", headers)[0]
+
+
+def start(processes, folder):
+    """Start all processes; return the addresses of gateway and servers, and its log."""
+    store = processes.start(
+        "store", [sys.executable, "-m", "standins.platform_store"], True
+    )
+    servers = [
+        processes.start(
+            name,
+            [sys.executable, "-m", "standins.platform_server", "--instance-id", name],
+            True,
+        )
+        for name in SERVERS
+    ]
+    store_address = store.read_address()
+    server_addresses = [server.read_address() for server in servers]
+    publish(store_address, "keyed.op", "config", CONFIGURATION)
+    for name, (host, port) in zip(SERVERS, server_addresses, strict=True):
+        entry = {
+            "service": "drafts",
+            "address": f"{host}:{port}",
+            "zone": "a",
+            "slots": 6,
+            "state": "ready",
+        }
+        publish(store_address, "keyed.servers", name, entry)
+    front, ready, peer = free_ports(3)
+    settings = folder / "settings.toml"
+    settings.write_text(
+        SETTINGS.format(
+            front=front,
+            ready=ready,
+            peer=peer,
+            store=f"{store_address[0]}:{store_address[1]}",
+        )
+    )
+    os.environ["SISKINTHREAD_BOOT"] = str(settings)
+    gateway = processes.start(
+        "gateway", [sys.executable, "-m", "siskinthread.platform"]
+    )
+    wait_until_ready(("127.0.0.1", ready))
+    return ("127.0.0.1", front), server_addresses, gateway.log_path
+
+
+def wait_until_ready(address):
+    """Wait until the gateway says that it is ready."""
+    deadline_s = time.monotonic() + START_WAIT_S
+    while time.monotonic() < deadline_s:
+        try:
+            if call(address, "GET", "/siskinthread/ready")[0] == 200:
+                return
+        except OSError:
+            pass
+        time.sleep(POLL_INTERVAL_S)
+    raise SystemExit("the gateway did not get ready")
+
+
+def play(gateway, servers):
+    """Send each request with its fault; return the status by name."""
+    statuses = {}
+    for name, (path, behaviour) in FAULTS.items():
+        body = json.dumps({"behaviours": [behaviour]}).encode()
+        for server in servers:
+            call(server, "POST", "/faults", body)
+        statuses[name] = ask(gateway, f"demo-{name}", path)
+        if name == "overloaded":
+            time.sleep(REPORT_WAIT_S)
+    return statuses
+
+
+def main():
+    """Run the demo."""
+    with tempfile.TemporaryDirectory() as name, Processes(Path(name)) as processes:
+        gateway, servers, log_path = start(processes, Path(name))
+        statuses = play(gateway, servers)
+        time.sleep(LOG_WAIT_S)
+        lines = log_path.read_text().splitlines()
+    for kind in ("overloaded", "unknown", "late"):
+        trace = find_request(lines, f"demo-{kind}")
+        print(trace.render() if trace else f"no line on demo-{kind}")
+    print(json.dumps(statuses))
+    return 0 if statuses == EXPECTED else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/siskinthread/command_line/_root.py
+++ b/siskinthread/command_line/_root.py
@@ -11,6 +11,7 @@
 from siskinthread.command_line._measure import MeasureCommand
 from siskinthread.command_line._settings import SettingsCommand
 from siskinthread.command_line._status import StatusCommand
+from siskinthread.command_line._trace import TraceCommand
 
 # One line for each daemon and each group of subcommands; a new group is imported above
 # and added here.
@@ -23,6 +24,7 @@
     | MeasureCommand
     | SettingsCommand
     | StatusCommand
+    | TraceCommand
 )  # fmt: skip
 
 
--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -71,6 +71,8 @@
         What failed, for the log.
     written : bool
         Whether a byte of the request was sent.
+    load_when_chosen : int
+        Requests that the target was believed to have.
     is_group_fault : bool
         Whether another rank of the target's group is what failed.
     """
@@ -83,6 +85,7 @@
         "answer",
         "entry",
         "is_group_fault",
+        "load_when_chosen",
         "reason",
         "result",
         "written",
@@ -99,6 +102,7 @@
         self.reason = ""
         self.written = False
         self.is_group_fault = False
+        self.load_when_chosen = parts.loads.total(entry.instance_id)
 
     async def run(self):
         """Send the request and take its answer; sets `result`."""
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -74,6 +74,9 @@
         return [
             {
                 "target": attempt.entry.instance_id,
+                "group": self._parts.choice.group_of(attempt.entry.instance_id),
+                "load": attempt.load_when_chosen,
+                "slots": attempt.entry.slot_count,
                 "result": attempt.result.value if attempt.result else "cancelled",
                 "reason": attempt.reason,
             }
--- a/siskinthread/gateway/_reply.py
+++ b/siskinthread/gateway/_reply.py
@@ -23,6 +23,8 @@
         Tells whether the connection ends with this answer.
     request : GatewayRequest
         The request.
+    clock : siskinthread.timing.Clock
+        Clock of the times below.
 
     Attributes
     ----------
@@ -32,19 +34,31 @@
         Whether the caller has the whole answer.
     last_event_id : int or None
         Id of the last event that the caller has.
+    first_written_at_s : float or None
+        When the first bytes were written, monotonic seconds.
+    longest_pause_s : float
+        Longest time between two writes of events, seconds.
     """
 
     __slots__ = (
+        "_clock",
         "_connection",
         "_context",
+        "_last_written_at_s",
         "_wire",
+        "first_written_at_s",
         "has_begun",
         "has_ended",
         "last_event_id",
+        "longest_pause_s",
         "status",
     )
 
-    def __init__(self, connection, wire, context, request):
+    def __init__(self, connection, wire, context, request, clock):
+        self._clock = clock
+        self._last_written_at_s = None
+        self.first_written_at_s = None
+        self.longest_pause_s = 0.0
         self._connection = connection
         self._wire = wire
         self._context = context
@@ -67,6 +81,7 @@
 
     async def write_events(self, events):
         """Write whole events and note which one was the last."""
+        self._note_pause()
         await self._send(self._connection.write_data, events.data)
         if events.last_id is not None:
             self.last_event_id = events.last_id
@@ -98,6 +113,13 @@
         )
         self.has_ended = True
 
+    def _note_pause(self):
+        now_s = self._clock.monotonic_s()
+        if self._last_written_at_s is not None:
+            pause_s = now_s - self._last_written_at_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_written_at_s = now_s
+
     def _headers(self, head):
         return self._closing(self._wire.answer_headers(head))
 
@@ -107,6 +129,8 @@
         return headers
 
     async def _send(self, write, *arguments):
+        if self.first_written_at_s is None:
+            self.first_written_at_s = self._clock.monotonic_s()
         try:
             await write(*arguments)
         except ConnectionLostError as error:
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -135,7 +135,7 @@
             accepted.table.version,
             Deadline(parts.clock, self._received_at_s + wait_s),
         )
-        reply = Reply(self.connection, parts.wire, self.context, request)
+        reply = Reply(self.connection, parts.wire, self.context, request, parts.clock)
         forwarding = Forwarding(parts, request, reply)
         end = End(Outcome.UNKNOWN, Reason.CANCELLED, "The caller left.")
         try:
@@ -146,10 +146,10 @@
             # The answer is not HTTP that can be passed on; the connection is closed.
             end = End(Outcome.FAILED_RAN, Reason.TARGET_FAILED, str(error))
         finally:
-            self._log(request, reply.status, end, forwarding.describe())
+            self._log(request, reply.status, end, forwarding.describe(), reply)
         return reply.has_ended
 
-    def _log(self, request, status, end, attempts):
+    def _log(self, request, status, end, attempts, reply=None):
         now_s = self.context.parts.clock.monotonic_s()
         took_s = 0.0
         if self._received_at_s is not None:
@@ -169,6 +169,10 @@
             "took_s": round(took_s, 3),
             "attempts": attempts,
         }
+        if reply is not None and reply.first_written_at_s is not None:
+            first_s = reply.first_written_at_s - self._received_at_s
+            fields["first_bytes_s"] = round(first_s, 3)
+            fields["longest_pause_s"] = round(reply.longest_pause_s, 3)
         if request is not None:
             fields["version"] = request.table_version
             if request.account is not None:
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -79,7 +79,12 @@
             apart or trusted or fresh, key=lambda entry: self._rank(entry, group_loads)
         )
         if self._load(chosen) >= 1 + self._settings.waiting_per_slot:
-            message = "Every target has as many requests as it can serve in time."
+            message = (
+                f"Each of {len(serving)} targets has as many requests as it can serve "
+                f"in time; {chosen.instance_id} has the least, "
+                f"{self._loads.total(chosen.instance_id)} for {chosen.slot_count} "
+                f"slots, as told by {self._loads.source()}."
+            )
             return self._refusal(Reason.OVERLOADED, request, message)
         return chosen
 
--- a/siskinthread/gateway/_target_connection.py
+++ b/siskinthread/gateway/_target_connection.py
@@ -259,13 +259,16 @@
 
     async def _receive(self, deadline):
         try:
-            return await curio.timeout_after(
+            data = await curio.timeout_after(
                 deadline.left_s(), self._socket.recv, RECEIVE_SIZE_BYTES
             )
         except curio.TaskTimeout as error:
             raise TargetSilentError("silent past the limit") from error
         except OSError as error:
             raise TargetError(f"connection failed: {error!r}") from error
+        if not data and self._http.their_state is h11.SEND_RESPONSE:
+            raise TargetError("the connection ended before the answer")
+        return data
 
     def _readable(self):
         # A target that closed a resting connection leaves it readable.  Writing to it
--- a/siskinthread/gateway/_target_loads.py
+++ b/siskinthread/gateway/_target_loads.py
@@ -80,6 +80,12 @@
             return own
         return own + reported.others
 
+    def source(self):
+        """Return what others' requests are known by, for the log."""
+        if self.peers is not None and self.peers.has_fresh_news():
+            return "peers"
+        return "the targets' own reports"
+
     def forget(self, instance_id):
         """Drop what is known of a target that is gone."""
         self._reported.pop(instance_id, None)
--- /dev/null
+++ b/siskinthread/tracing/_trace.py
@@ -0,0 +1,129 @@
+"""Finds a request in structured log lines, and what was logged around it."""
+
+import json
+
+REQUEST_ENDED = "gateway: request ended"
+# Decisions this long before a request may explain it: longer than a target or a group
+# is passed over, and than a change of an expert map takes.
+BEFORE_S = 6.0
+AFTER_S = 0.5
+# Fields whose values connect a line with a request's attempts.
+CONNECTING_FIELDS = ("target", "group", "peer", "dependency")
+
+
+class Trace:
+    """What the log tells of one request.
+
+    Parameters
+    ----------
+    request : dict
+        Its own line.
+    around : list of dict
+        Lines on its targets, their groups and the process, oldest first.
+    """
+
+    __slots__ = ("around", "request")
+
+    def __init__(self, request, around):
+        self.request = request
+        self.around = around
+
+    def as_json(self):
+        """Return both as one JSON text."""
+        document = {"request": self.request, "around": self.around}
+        return json.dumps(document, indent=2)
+
+    def render(self):
+        """Return both as lines for people."""
+        request = self.request
+        lines = [
+            f"request {request['id']}: {request['outcome']}, {request['reason']}",
+            f"  status {request['status']}, took {request['took_s']} s",
+        ]
+        if request.get("explanation"):
+            lines.append(f"  {request['explanation']}")
+        lines.append(
+            f"  route {request['route']}, service {request['service']}, account "
+            f"{request['account']}, configuration {request['version']}, confirmed "
+            f"{request['configuration_age_s']} s before"
+        )
+        if "first_bytes_s" in request:
+            lines.append(
+                f"  first bytes after {request['first_bytes_s']} s, longest pause "
+                f"{request['longest_pause_s']} s"
+            )
+        lines += [_attempt_line(attempt) for attempt in request["attempts"]]
+        begun_at = request["at"] - request["took_s"]
+        lines += [_around_line(one, begun_at) for one in self.around]
+        return "\n".join(lines)
+
+
+def find_request(lines, request_id):
+    """Return the `Trace` of a request, or None if no line is about it.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Log lines of one process; those that are no JSON are passed over.
+    request_id : str
+        The caller's id of the request.
+    """
+    events = [event for event in map(_read, lines) if event is not None]
+    request = None
+    for event in events:
+        if event.get("event") == REQUEST_ENDED and event.get("id") == request_id:
+            request = event
+    if request is None:
+        return None
+    return Trace(request, _around(events, request))
+
+
+def _read(line):
+    try:
+        event = json.loads(line)
+    except ValueError:
+        return None
+    return event if isinstance(event, dict) and "at" in event else None
+
+
+def _around(events, request):
+    names = set()
+    for attempt in request["attempts"]:
+        names |= {attempt["target"], attempt.get("group")}
+    names.discard(None)
+    begun_at = request["at"] - request["took_s"]
+    return [
+        event
+        for event in events
+        if event.get("event") != REQUEST_ENDED
+        and begun_at - BEFORE_S <= event["at"] <= request["at"] + AFTER_S
+        and _is_connected(event, names)
+    ]
+
+
+def _is_connected(event, names):
+    """Return whether a line is on one of some names, or on the process itself."""
+    stated = [event[name] for name in CONNECTING_FIELDS if name in event]
+    if "target" in event or "group" in event:
+        return any(value in names for value in stated)
+    return True
+
+
+def _attempt_line(attempt):
+    text = f"  {attempt['target']}"
+    if attempt.get("group"):
+        text += f" of group {attempt['group']}"
+    text += f" with {attempt['load']} requests for {attempt['slots']} slots"
+    text += f": {attempt['result']}"
+    if attempt["reason"]:
+        text += f", {attempt['reason']}"
+    return text
+
+
+def _around_line(event, begun_at):
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in event.items()
+        if name not in ("at", "level", "event")
+    )
+    return f"  {event['at'] - begun_at:+8.3f} s {event['event']} {fields}".rstrip()
--- /dev/null
+++ b/siskinthread/tracing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tracing."""
--- /dev/null
+++ b/siskinthread/tracing/tests/test_trace.py
@@ -0,0 +1,81 @@
+"""A request and what explains it, out of many lines."""
+
+import json
+
+from siskinthread.tracing import find_request
+
+
+def request(at, request_id, **fields):
+    """Return the line of a request."""
+    values = {
+        "at": at,
+        "level": "info",
+        "event": "gateway: request ended",
+        "id": request_id,
+        "route": "r-1",
+        "service": "app",
+        "account": "a",
+        "version": 7,
+        "configuration_age_s": 0.4,
+        "status": 502,
+        "outcome": "unknown",
+        "reason": "target_silent",
+        "explanation": "The answer was lost.",
+        "took_s": 0.5,
+        "attempts": [
+            {
+                "target": "i-1",
+                "group": "g",
+                "load": 2,
+                "slots": 6,
+                "result": "lost",
+                "reason": "connection failed",
+            }
+        ],
+    }
+    return values | fields
+
+
+def event(at, text, **fields):
+    """Return another line."""
+    return {"at": at, "level": "info", "event": text, **fields}
+
+
+LINES = [
+    json.dumps(one)
+    for one in (
+        event(90.0, "gateway: target passed over", target="i-1"),
+        event(99.0, "gateway: target passed over", target="i-1", wait_s=1.0),
+        event(99.1, "gateway: target passed over", target="i-2", wait_s=1.0),
+        event(99.2, "group_maps: map change", group="g", time_before=2.5),
+        event(99.3, "gateway: dependency lost", dependency="target list"),
+        request(100.0, "id-1"),
+        request(100.1, "id-2"),
+    )
+] + ["no JSON", "[1, 2]"]
+
+
+def test_lines_on_its_targets_groups_and_the_process_are_found():
+    """Other targets, other requests and what was long before are left out."""
+    trace = find_request(LINES, "id-1")
+    assert trace.request["id"] == "id-1"
+    assert [one["at"] for one in trace.around] == [99.0, 99.2, 99.3]
+
+
+def test_unknown_id_is_not_found():
+    """No line, no trace."""
+    assert find_request(LINES, "id-9") is None
+
+
+def test_people_read_outcome_attempts_and_times():
+    """The text names what decided the outcome."""
+    text = find_request(LINES, "id-1").render()
+    assert "request id-1: unknown, target_silent" in text
+    assert "i-1 of group g with 2 requests for 6 slots: lost, connection failed" in text
+    assert "-0.500 s gateway: target passed over target=i-1 wait_s=1.0" in text
+
+
+def test_tools_read_json():
+    """The same as one document."""
+    document = json.loads(find_request(LINES, "id-2").as_json())
+    assert document["request"]["id"] == "id-2"
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -3,8 +3,14 @@
 It reads a request, notes that it came, and answers as the next of its scripted
 behaviours says; without one it answers whole.  Answers are written as bytes, since most
 faults are not HTTP that a library would send.
+
+Run it with ``python -m standins.platform_server --port 0 --instance-id i-1``.  ``POST
+/faults`` takes ``behaviours``: names of `BEHAVIOURS` for the next requests, in place of
+those before.
 """
 
+import argparse
+import json
 from collections import deque
 
 import curio
@@ -69,25 +75,27 @@
         "seen",
     )
 
-    def __init__(self, instance_id):
+    def __init__(self, instance_id, host="127.0.0.1", port=0):
         self.instance_id = instance_id
         self.seen = []
         self.behaviours = deque()
         self.closed_early = curio.Event()
         self.connection_count = 0
-        self._listener = curio.tcp_server_socket("127.0.0.1", 0)
+        self._listener = curio.tcp_server_socket(host, port)
         self._task = None
         self.host, self.port = self._listener.getsockname()
 
     async def __aenter__(self):
-        self._task = await curio.spawn(
-            curio.network.run_server, self._listener, self.serve
-        )
+        self._task = await curio.spawn(self.run)
         return self
 
     async def __aexit__(self, *exception):
         await self._task.cancel()
 
+    async def run(self):
+        """Serve until cancelled."""
+        await curio.network.run_server(self._listener, self.serve)
+
     async def serve(self, client, address):
         """Serve one connection."""
         self.connection_count += 1
@@ -97,6 +105,10 @@
                 request, rest = await read_request(client, rest)
                 if request is None:
                     return
+                if request.line.startswith("POST /faults "):
+                    self._set_faults(json.loads(request.body))
+                    await client.sendall(answer_bytes("", body=b""))
+                    continue
                 self.seen.append(request)
                 behave = self.behaviours.popleft() if self.behaviours else answer_whole
                 if await behave(self, request, client) is CLOSE:
@@ -104,6 +116,11 @@
         except OSError:
             return
 
+    def _set_faults(self, faults):
+        self.behaviours.clear()
+        for name in faults["behaviours"]:
+            self.behaviours.append(BEHAVIOURS[name])
+
 
 CLOSE = object()
 
@@ -274,3 +291,42 @@
 
 def _chunk(data):
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+async def cut_unless_resumed(server, request, client):
+    """Break a stream off within its third event, or continue one."""
+    last_id = request.headers.get("last-event-id")
+    if last_id is None:
+        return await stream(1, 5, cut_within=3)(server, request, client)
+    return await stream(int(last_id) + 1, 5)(server, request, client)
+
+
+BEHAVIOURS = {
+    "answer": answer_whole,
+    "decline": decline,
+    "fail": fail,
+    "lose": lose_answer,
+    "stream": stream(1, 5, gap_s=0.05),
+    "slow": stream(1, 5, gap_s=0.4),
+    "cut": cut_unless_resumed,
+}
+
+
+def main():
+    """Run the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--host", default="127.0.0.1", help="IP number to listen on")
+    parser.add_argument("--port", type=int, default=0, help="TCP port; 0 chooses one")
+    parser.add_argument("--instance-id", default="i-1", help="id of this start")
+    options = parser.parse_args()
+
+    async def serve():
+        server = PlatformServerStandin(options.instance_id, options.host, options.port)
+        print(f"listening {server.host}:{server.port}", flush=True)
+        await server.run()
+
+    curio.run(serve)
+
+
+if __name__ == "__main__":
+    main()
