--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from siskinthread.gateway._table import TableView
 from siskinthread.http_server import BodyBudget, ConnectionServer
 from siskinthread.observability import part_logger
+from siskinthread.timing import Deadline
 
 LIMIT_NAMES = (
     "head_size_limit_bytes",
@@ -271,15 +272,16 @@
         )
         await server.run(listening_socket)
 
-    async def drain(self, deadline):
+    async def drain(self, stop_limit_s):
         """Finish what is in flight; return whether that was possible.
 
         Parameters
         ----------
-        deadline : siskinthread.timing.Deadline
-            When to give up.
+        stop_limit_s : float
+            Time until the process is killed, seconds.
         """
-        return await self._callers.drain(deadline)
+        wait_s = max(0.0, stop_limit_s - self._settings.stop_margin_s)
+        return await self._callers.drain(Deadline.after(self._clock, wait_s))
 
     def unready_reason(self):
         """Return why callers should not be sent here, or None."""
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -37,7 +37,7 @@
 from siskinthread.platform._store import StoreClient
 from siskinthread.platform._wire import PlatformWire
 from siskinthread.supervision import run_until_stopped
-from siskinthread.timing import Deadline, SYSTEM_CLOCK
+from siskinthread.timing import SYSTEM_CLOCK
 
 BACKLOG = 1024
 READY_PATH = "/siskinthread/ready"
@@ -198,9 +198,7 @@
         return table.services[entry.service_name].experts
 
     async def _drain(self):
-        limit_s = self._settings.stop_limit_s
-        deadline = Deadline.after(SYSTEM_CLOCK, limit_s - 0.4)
-        if not await self._gateway.drain(deadline):
+        if not await self._gateway.drain(self._settings.stop_limit_s):
             _logger.event("requests were cut off at the end of the drain")
 
     async def _watch_settings(self):
--- a/siskinthread/platform/tests/test_faults.py
+++ b/siskinthread/platform/tests/test_faults.py
@@ -16,7 +16,7 @@
     STREAM_PATH,
     until,
 )
-from siskinthread.timing import Deadline, SYSTEM_CLOCK
+from siskinthread.timing import SYSTEM_CLOCK
 from standins import platform_server as faults
 
 EVENTS = b"".join(faults.event(number) for number in range(1, 6))
@@ -317,8 +317,7 @@
         client = await system.connect()
         await client.sendall(system.request_bytes(STREAM_PATH))
         await until(lambda: len(system.seen()) == 1)
-        deadline = Deadline.after(SYSTEM_CLOCK, 5.0)
-        drain = await curio.spawn(system.gateway.drain, deadline)
+        drain = await curio.spawn(system.gateway.drain, 5.0)
         await curio.sleep(0.02)
         ready = await system.ready_status()
         late = await system.request(SAFE_PATH)
