--- a/siskinthread/gateway/_following.py
+++ b/siskinthread/gateway/_following.py
@@ -346,20 +346,33 @@
         return self._peers.newest_version() > known
 
     async def _take_snapshot(self):
-        for address in self._peers.informed_peers()[:1]:
-            try:
-                snapshot = await self._fetch(address)
-            except PlatformUnavailableError as error:
-                self.dependency.failed(error)
-                continue
+        informed = self._peers.informed_peers()
+        if informed:
+            await self._take_from(informed[0], is_informed=True)
+        elif self._knows_nothing():
+            # The sources are away for everybody.  What others still serve by is better
+            # than refusing everything until they are back.
+            for address in self._peers.serving_peers()[:1]:
+                await self._take_from(address, is_informed=False)
+
+    def _knows_nothing(self):
+        return self._view.table is None or not self._targets.entries()
+
+    async def _take_from(self, address, is_informed):
+        try:
+            snapshot = await self._fetch(address)
+        except PlatformUnavailableError as error:
+            self.dependency.failed(error)
+            return
+        if is_informed:
             self.dependency.answered()
-            if snapshot.table is not None and self._view.advance(snapshot.table):
-                _logger.event(
-                    "configuration in force",
-                    version=snapshot.table.version,
-                    told_by=str(address),
-                )
-            self._targets.replace(snapshot.entries, is_sure=True)
+        if snapshot.table is not None and self._view.advance(snapshot.table):
+            _logger.event(
+                "configuration in force",
+                version=snapshot.table.version,
+                told_by=str(address),
+            )
+        self._targets.replace(snapshot.entries, is_sure=is_informed)
 
 
 class TargetChange:
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -90,6 +90,15 @@
         informed.sort(key=lambda news: news.table_version, reverse=True)
         return [news.sender for news in informed]
 
+    def serving_peers(self):
+        """Return the addresses of peers that have a configuration, newest first.
+
+        They may be cut off from its source themselves.
+        """
+        serving = [peer.news for peer in self._fresh_peers() if peer.news.table_version]
+        serving.sort(key=lambda news: news.table_version, reverse=True)
+        return [news.sender for news in serving]
+
     async def run(self):
         """Exchange news until cancelled."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -91,6 +91,7 @@
     def __init__(self):
         self.version = 0
         self.informed = []
+        self.serving = []
         self.describe = None
 
     async def run(self):
@@ -104,6 +105,10 @@
         """Return the version that a peer is said to have."""
         return self.version
 
+    def serving_peers(self):
+        """Return the peers that are said to have a configuration."""
+        return self.serving
+
     def informed_peers(self):
         """Return the peers that are said to be informed."""
         return self.informed
@@ -219,18 +224,18 @@
     return data
 
 
-def run_system(test, server_count=2, document=None, **settings):
+def run_system(test, server_count=2, document=None, first_mode="up", **settings):
     """Run an async test with a `System` whose parts have started."""
 
     async def main():
-        async with running(server_count, document, settings) as system:
+        async with running(server_count, document, first_mode, settings) as system:
             return await curio.timeout_after(HANG_S, test, system)
 
     return curio.run(main)
 
 
 @asynccontextmanager
-async def running(server_count, document, settings):
+async def running(server_count, document, first_mode, settings):
     """Run a system for the length of a block."""
     values = {"target_interval_s": 0.05, "source_retry_s": 0.02, "table_wait_s": 5.0}
     values |= {"snapshot_interval_s": 0.05}
@@ -245,6 +250,7 @@
         if document is not None or server_count:
             await system.store.put("keyed.op", "config", document or published())
             await system.list_servers()
+        system.store.mode = first_mode
         await _start(system, stack)
         try:
             yield system
@@ -282,7 +288,8 @@
     tasks.append(await curio.spawn(system.gateway.serve_pages, status, pages))
     for task in tasks:
         stack.push_async_callback(task.cancel)
-    await until(lambda: system.gateway.unready_reason() is None or not system.servers)
+    if system.store.mode == "up" and system.servers:
+        await until(lambda: system.gateway.unready_reason() is None)
 
 
 async def fetch_soon(address):
--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -102,6 +102,26 @@
     assert run_system(test, server_count=0) == 503
 
 
+def test_host_that_starts_in_an_outage_for_all_serves_by_what_others_still_do():
+    """Symptom: an added host refuses everything for 6 s.
+
+    Events: the store is away for everybody; the other hosts serve on by what they
+    know, and none of them is informed.  Cause: only informed peers were asked.
+    """
+
+    async def test(system):
+        page = page_of(system, published(3), {OTHER: listed(system.servers[0])})
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.peers.serving = [Address(peer.host, peer.port)]
+            await until(lambda: system.gateway.parts.targets.entries())
+            served = await system.request(SAFE_PATH)
+            denied = await system.request(SAFE_PATH, key="unknown here")
+        return status_of(served), status_of(denied)
+
+    # What an uninformed peer knows does not prove that a key is unknown.
+    assert run_system(test, first_mode="reset") == (200, 503)
+
+
 def test_unreadable_snapshot_changes_nothing():
     """A peer that answers nonsense is not believed."""
 
