--- a/siskinthread/group_maps/_settings.py
+++ b/siskinthread/group_maps/_settings.py
@@ -129,7 +129,7 @@
     )
     stuck_limit_s = Item(
         float,
-        default=2.0,
+        default=1.0,
         minimum=0.0,
         description="How long a group may be held by a change until its controller is "
         "taken for gone and the change is finished or undone.",
