--- a/siskinthread/command_line/_roles.py
+++ b/siskinthread/command_line/_roles.py
@@ -1,4 +1,4 @@
-"""The two daemons and their settings.
+"""The daemons and their settings.
 
 The daemons are imported only when a command needs them, so that ``--help`` and the
 operators' commands start without them.
@@ -9,7 +9,7 @@
 from siskinthread.command_line._files import read_text
 from siskinthread.settings import load_section
 
-Role = Literal["entry", "agent"]
+Role = Literal["entry", "agent", "gateway"]
 ROLES = get_args(Role)
 
 
@@ -29,6 +29,10 @@
 
     if role == "entry":
         return daemons.EntrySettings
+    if role == "gateway":
+        from siskinthread.platform import TuningSettings
+
+        return TuningSettings
     return daemons.AgentSettings
 
 
@@ -38,7 +42,7 @@
     Parameters
     ----------
     role : str
-        One of ``ROLES``.
+        "entry" or "agent".
     file_name : str
         Its settings file.
 
--- a/siskinthread/command_line/_settings.py
+++ b/siskinthread/command_line/_settings.py
@@ -28,8 +28,23 @@
         cappa.Arg(long=True, help="Daemon that the file is for."),
     ] = None
 
+    host: Annotated[
+        bool,
+        cappa.Arg(
+            long="--host",
+            help="The file is one that the users' platform writes for a host.",
+        ),
+    ] = False
+
     def __call__(self):
         text = read_text(self.file)
+        if self.host:
+            # Imported here, so that the other commands start without it.
+            from siskinthread.platform import read_host_settings
+
+            settings = read_host_settings(text, self.file)
+            print_text(f"{self.file}: fine for host {settings.host}\n")
+            return
         roles = ROLES if self.role is None else (self.role,)
         failures = []
         for role in roles:
--- a/siskinthread/command_line/tests/test_command_line.py
+++ b/siskinthread/command_line/tests/test_command_line.py
@@ -187,3 +187,27 @@
     daemons.run_entry = run_entry
     with pytest.raises(InvariantError):
         main(["entry", "--settings", write('{"listen": "127.0.0.1:80"}')])
+
+
+def test_host_settings_of_the_platform_are_checked(write, capsys):
+    """Every problem of a file that the platform writes is named with its field."""
+    name = write('node = "front-a-1"\nzone = 5\n', "host.toml")
+    assert main(["settings", "check", "--host", name]) == 2
+    error = capsys.readouterr().err
+    assert "host.toml: zone has the value 5" in error
+    assert "host.toml: platform.address is missing" in error
+
+
+def test_trace_finds_a_request_or_says_that_it_does_not(write, capsys):
+    """The exit code tells scripts which of both."""
+    line = (
+        '{"at":10.0,"event":"gateway: request ended","id":"id-1","route":"r",'
+        '"service":"s","account":null,"version":1,"configuration_age_s":0.1,'
+        '"status":200,"outcome":"answered","reason":"complete","took_s":0.1,'
+        '"attempts":[]}'
+    )
+    name = write(line, "gateway.log")
+    assert main(["trace", "id-1", name]) == 0
+    assert "request id-1: answered, complete" in capsys.readouterr().out
+    assert main(["trace", "id-2", name]) == 1
+    assert "no file has a line on request id-2" in capsys.readouterr().out
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -8,26 +8,14 @@
 import curio
 
 from siskinthread.errors import SettingsError
-from siskinthread.gateway import Gateway, GatewaySettings
-from siskinthread.group_maps import (
-    GroupDirectory,
-    GroupDuty,
-    GroupMapSettings,
-    MapMeasures,
-)
-from siskinthread.observability import (
-    LoggingSettings,
-    Metrics,
-    part_logger,
-    set_up_logging,
-)
-from siskinthread.peer_news import PeerNews, PeerNewsSettings
+from siskinthread.gateway import Gateway
+from siskinthread.observability import Metrics, part_logger, set_up_logging
+from siskinthread.peer_news import PeerNews
+from siskinthread.platform._group_control import GroupControl
 from siskinthread.platform._host_settings import (
     read_host_settings,
     SETTINGS_VARIABLE,
 )
-from siskinthread.platform._rank_client import RankClient
-from siskinthread.platform._shares import StoreShares
 from siskinthread.platform._snapshots import (
     fetch_snapshot,
     snapshot_page,
@@ -35,10 +23,13 @@
 )
 from siskinthread.platform._sources import ListedTargets, PublishedTables
 from siskinthread.platform._store import StoreClient
+from siskinthread.platform._tuning import TuningSettings
 from siskinthread.platform._wire import PlatformWire
+from siskinthread.settings import load_section
 from siskinthread.supervision import run_until_stopped
 from siskinthread.timing import SYSTEM_CLOCK
 
+EXIT_USAGE = 2
 BACKLOG = 1024
 READY_PATH = "/siskinthread/ready"
 METRICS_PATH = "/metrics"
@@ -47,9 +38,6 @@
 # Peers are less than 15 ms away, and a snapshot takes some milliseconds to build.
 PEER_ANSWER_WAIT_S = 0.3
 SETTINGS_INTERVAL_S = 2.0
-GROUPS_INTERVAL_S = 1.0
-# While ranks are unknown, as after a start, maps can't change.
-RANKS_RETRY_S = 0.25
 
 _logger = part_logger("platform")
 
@@ -60,37 +48,37 @@
     Parameters
     ----------
     path : pathlib.Path
-        The settings file.
-    settings : HostSettings
+        The settings file that the platform writes.
+    text : str
         What it holds.
+    tuning : TuningSettings
+        The project's own settings.
     """
 
     __slots__ = (
-        "_directory",
-        "_duty",
         "_gateway",
+        "_group_control",
         "_path",
-        "_rank_calls",
         "_settings",
         "_tables",
         "_targets",
         "_text",
     )
 
-    def __init__(self, path, text):
+    def __init__(self, path, text, tuning):
         self._path = path
         self._text = text
-        self._settings = read_host_settings(text, str(path))
+        self._settings = settings = read_host_settings(text, str(path))
         metrics = Metrics()
         calls = metrics.counter(
             "platform_store_calls", "Calls to the platform's store.", ("call",)
         )
-        store = StoreClient(self._settings.store, STORE_ANSWER_WAIT_S, calls)
+        store = StoreClient(settings.store, STORE_ANSWER_WAIT_S, calls)
         self._tables = PublishedTables(store)
         self._targets = ListedTargets(store)
         self._gateway = Gateway(
-            GatewaySettings(),
-            self._settings.failure_domain,
+            tuning.gateway,
+            settings.failure_domain,
             PlatformWire(),
             self._tables,
             self._targets,
@@ -98,34 +86,15 @@
             metrics,
             random.Random(),
         )
-        self._gateway.hear_peers(
-            PeerNews(
-                PeerNewsSettings(),
-                self._settings.peer_address,
-                self._settings.first_peers,
-                SYSTEM_CLOCK,
-            ),
-            self._fetch_snapshot,
-        )
-        self._rank_calls = metrics.counter(
-            "platform_rank_calls", "Calls to ranks of model groups.", ("call",)
-        )
-        group_settings = GroupMapSettings()
-        self._directory = GroupDirectory(self._build_rank_client, group_settings)
-        self._gateway.parts.choice.group_of = self._directory.group_of
-        self._duty = GroupDuty(
-            self._directory,
-            StoreShares(
-                store,
-                self._settings.host,
-                self._settings.share_count,
-                group_settings.share_lapse_s,
-            ),
-            self._find_layout,
-            group_settings,
+        peers = PeerNews(
+            tuning.peer_news,
+            settings.peer_address,
+            settings.first_peers,
             SYSTEM_CLOCK,
-            MapMeasures(metrics),
-            random.Random(),
+        )
+        self._gateway.hear_peers(peers, self._fetch_snapshot)
+        self._group_control = GroupControl(
+            tuning.group_maps, settings, self._gateway, store, metrics
         )
 
     async def run(self):
@@ -143,8 +112,7 @@
         tasks["status"] = self._serve_status
         tasks["peers"] = self._serve_peers
         tasks["settings"] = self._watch_settings
-        tasks["groups"] = self._learn_groups
-        tasks["maps"] = self._duty.run
+        tasks |= self._group_control.tasks()
         await run_until_stopped(tasks, self._drain, self._reload)
         _logger.event("stopped", host=settings.host)
 
@@ -173,30 +141,6 @@
     async def _fetch_snapshot(self, address):
         return await fetch_snapshot(address, PEER_ANSWER_WAIT_S)
 
-    async def _learn_groups(self):
-        """Keep track of which targets are ranks of which groups."""
-        while True:
-            entries = self._gateway.parts.targets.entries()
-            ranks = [entry for entry in entries if self._layout(entry) is not None]
-            is_complete = await self._directory.refresh(ranks)
-            interval_s = GROUPS_INTERVAL_S if is_complete else RANKS_RETRY_S
-            await curio.sleep(interval_s)
-
-    def _build_rank_client(self, entry):
-        return RankClient(entry, self._layout(entry), self._rank_calls)
-
-    def _find_layout(self, instance_id):
-        for entry in self._gateway.parts.targets.entries():
-            if entry.instance_id == instance_id:
-                return self._layout(entry)
-        return None
-
-    def _layout(self, entry):
-        table = self._gateway.view.table
-        if table is None or entry.service_name not in table.services:
-            return None
-        return table.services[entry.service_name].experts
-
     async def _drain(self):
         if not await self._gateway.drain(self._settings.stop_limit_s):
             _logger.event("requests were cut off at the end of the drain")
@@ -226,12 +170,28 @@
     return curio.network.tcp_server_socket(address.host, address.port, backlog=BACKLOG)
 
 
-def main():
-    """Run the gateway; return the exit status."""
-    output = set_up_logging(LoggingSettings(), sys.stdout, structured=True)
+def main(arguments=()):
+    """Run the gateway.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        Nothing, or the name of a file with `TuningSettings`.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    try:
+        tuning = _load_tuning(arguments)
+    except (OSError, UnicodeDecodeError, SettingsError) as error:
+        print(f"settings can't be read: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    output = set_up_logging(tuning.logging, sys.stdout, structured=True)
     try:
         path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-        daemon = GatewayDaemon(path, path.read_text())
+        daemon = GatewayDaemon(path, path.read_text(), tuning)
     except (OSError, UnicodeDecodeError, SettingsError) as error:
         _logger.event("settings can't be read", path=str(path), reason=str(error))
         output.close()
@@ -241,3 +201,10 @@
     finally:
         output.close()
     return 0
+
+
+def _load_tuning(arguments):
+    if not arguments:
+        return TuningSettings()
+    name = arguments[0]
+    return load_section(TuningSettings, Path(name).read_text(), name)
--- /dev/null
+++ b/siskinthread/platform/_tuning.py
@@ -0,0 +1,16 @@
+"""The project's own settings of the gateway, beside those that the platform writes."""
+
+from siskinthread.gateway import GatewaySettings
+from siskinthread.group_maps import GroupMapSettings
+from siskinthread.observability import LoggingSettings
+from siskinthread.peer_news import PeerNewsSettings
+from siskinthread.settings import Item, Section
+
+
+class TuningSettings(Section):
+    """Everything about a gateway that is not a matter of its host."""
+
+    gateway = Item(GatewaySettings, description="Requests, targets and connections.")
+    group_maps = Item(GroupMapSettings, description="Expert maps of model groups.")
+    peer_news = Item(PeerNewsSettings, description="News between entry hosts.")
+    logging = Item(LoggingSettings, description="Logs.")
