Pass on no 'not run' that the target did not state

A target's 503, 408, 421 or 429 without its word that the request did not run went on to the caller, as a promise; a decline whose body broke off counted as lost; a whole answer to a resumed stream was written behind the stream's head, and only h11 refused it; kept connections that targets close counted as failures of the target.

--- a/siskinthread/gateway/__init__.py
+++ b/siskinthread/gateway/__init__.py
@@ -7,10 +7,11 @@
 `Gateway`.
 """
 
-from siskinthread.gateway._following import Snapshot, TargetChange
+from siskinthread.gateway._following import TargetChange
 from siskinthread.gateway._gateway import Gateway
 from siskinthread.gateway._request import AnswerFacts, LoadReport, RequestFacts
 from siskinthread.gateway._settings import GatewaySettings
+from siskinthread.gateway._snapshots import Snapshot
 from siskinthread.gateway._status import STATUS_OK, StatusPage
 from siskinthread.gateway._table import (
     Account,
--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -6,6 +6,8 @@
 from siskinthread.gateway._event_stream import EVENT_STREAM_TYPE, EventSplitter
 
 STATUS_OK = 200
+# To callers they promise that the request has not run and never will.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 FIRST_SERVER_ERROR = 500
 
 
@@ -73,18 +75,23 @@
         Whether a byte of the request was sent.
     load_when_chosen : int
         Requests that the target was believed to have.
+    is_stale : bool
+        Whether a kept connection ended before the answer; the target has probably
+        closed it for its age, and is not to be blamed.
     is_group_fault : bool
         Whether another rank of the target's group is what failed.
     """
 
     __slots__ = (
         "_connection",
+        "_has_head",
         "_parts",
         "_reply",
         "_request",
         "answer",
         "entry",
         "is_group_fault",
+        "is_stale",
         "load_when_chosen",
         "reason",
         "result",
@@ -101,7 +108,9 @@
         self.answer = None
         self.reason = ""
         self.written = False
+        self._has_head = False
         self.is_group_fault = False
+        self.is_stale = False
         self.load_when_chosen = parts.loads.total(entry.instance_id)
 
     async def run(self):
@@ -124,8 +133,13 @@
             self._parts.loads.ended(self.entry.instance_id)
 
     def _break(self, reason):
-        if self._connection is not None:
-            self.written = self.written or self._connection.written
+        connection = self._connection
+        if connection is not None:
+            self.written = self.written or connection.written
+            self.is_stale = connection.was_used and not self._has_head
+        if self.result is AttemptResult.DECLINED:
+            # The head has said so; what is missing of the body does not matter.
+            return
         self.reason = reason
         self.result = AttemptResult.LOST if self.written else AttemptResult.UNREACHABLE
 
@@ -147,6 +161,7 @@
         )
         self.written = True
         head = await connection.receive_head(request.deadline, self._is_awaited)
+        self._has_head = True
         facts = parts.wire.read_answer(head)
         if facts.load is not None:
             parts.loads.report(self.entry.instance_id, facts.load)
@@ -176,12 +191,19 @@
             self.reason = "another instance listens there"
             self._parts.targets.note_leaving(self.entry.instance_id, "its successor")
         self.is_group_fault = facts.is_group_fault
-        # What is known already does not depend on the rest of the answer.
         self.result = AttemptResult.DECLINED
         while await self._connection.receive_data(self._request.deadline) is not None:
             pass
 
     async def _take_whole(self, head):
+        if head.status in NOT_RUN_STATUSES:
+            # It would tell the caller that the request did not run, which the target
+            # does not say.
+            self._lose(f"status {head.status} of a request that may have run")
+            return
+        if self._reply.has_begun:
+            self._lose(f"status {head.status} instead of the rest of a stream")
+            return
         connection = self._connection
         limit_bytes = self._parts.settings.whole_answer_limit_bytes
         chunks = []
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -94,7 +94,9 @@
             self._parts.health.group_failed(self._parts.choice.group_of(instance_id))
         if attempt.result is AttemptResult.ANSWERED:
             self._parts.health.succeeded(instance_id)
-        elif attempt.result is not AttemptResult.DECLINED and not is_late:
+        elif attempt.result is AttemptResult.DECLINED or attempt.is_stale or is_late:
+            return
+        else:
             self._parts.health.failed(instance_id, attempt.reason)
 
     def _may_go_on(self, attempt):
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -2,13 +2,10 @@
 
 import curio
 
-from siskinthread.gateway._following import (
-    SnapshotFollower,
-    TableFollower,
-    TargetFollower,
-)
+from siskinthread.gateway._following import TableFollower, TargetFollower
 from siskinthread.gateway._parts import GatewayParts
 from siskinthread.gateway._session import GatewaySession
+from siskinthread.gateway._snapshots import SnapshotFollower
 from siskinthread.gateway._status import (
     STATUS_OK,
     STATUS_UNAVAILABLE,
--- /dev/null
+++ b/siskinthread/gateway/_snapshots.py
@@ -0,0 +1,146 @@
+"""Taking over what peers know while the sources turn this process away."""
+
+import curio
+
+from siskinthread.errors import PlatformUnavailableError
+from siskinthread.gateway._following import Dependency
+from siskinthread.observability import part_logger
+
+_logger = part_logger("gateway")
+
+
+class Snapshot:
+    """Configuration and targets as a peer knows them.
+
+    Parameters
+    ----------
+    table : RouteTable or None
+        The peer's routes.
+    entries : list of TargetEntry
+        The peer's targets.
+    """
+
+    __slots__ = ("entries", "table")
+
+    def __init__(self, table, entries):
+        self.table = table
+        self.entries = entries
+
+
+class SnapshotFollower:
+    """Takes over what peers know while the sources turn this process away.
+
+    Parameters
+    ----------
+    fetch : callable
+        ``async fetch(address)`` returns the `Snapshot` of a peer; raises
+        `PlatformUnavailableError`.
+    peers : siskinthread.peer_news.PeerNews
+        Tells which peers are informed.
+    view : TableView
+        Where tables come into force.
+    targets : TargetList
+        Where targets are noted.
+    table_follower : TableFollower
+        Told to read again if a peer has a newer table.
+    target_follower : TargetFollower
+        Tells whether its source answers.
+    settings : GatewaySettings
+        Times.
+    clock : siskinthread.timing.Clock
+        Clock of the ages.
+
+    Attributes
+    ----------
+    dependency : Dependency
+        When a snapshot was last taken.
+
+    Notes
+    -----
+    The sources may refuse some processes and serve others.  One would notice a process
+    that sends requests to targets which left seconds ago, lets revoked keys pass, or,
+    just started, refuses everything.
+    """
+
+    __slots__ = (
+        "_fetch",
+        "_peers",
+        "_settings",
+        "_table_follower",
+        "_target_follower",
+        "_targets",
+        "_view",
+        "dependency",
+    )
+
+    def __init__(
+        self,
+        fetch,
+        peers,
+        view,
+        targets,
+        table_follower,
+        target_follower,
+        settings,
+        clock,
+    ):
+        self._fetch = fetch
+        self._peers = peers
+        self._view = view
+        self._targets = targets
+        self._table_follower = table_follower
+        self._target_follower = target_follower
+        self._settings = settings
+        self.dependency = Dependency("news of peers", clock)
+
+    async def run(self):
+        """Follow for ever."""
+        while True:
+            await curio.sleep(self._settings.snapshot_interval_s)
+            if self._is_cut_off():
+                await self._take_snapshot()
+            elif self._is_behind():
+                # The source has not told this process yet, but it does answer.
+                await self._table_follower.read_again()
+
+    def _is_cut_off(self):
+        if self._target_follower.dependency.age_s() is None:
+            return True
+        return (
+            self._target_follower.dependency.is_lost
+            or self._table_follower.dependency.is_lost
+        )
+
+    def _is_behind(self):
+        table = self._view.table
+        known = 0 if table is None else table.version
+        return self._peers.newest_version() > known
+
+    async def _take_snapshot(self):
+        informed = self._peers.informed_peers()
+        if informed:
+            await self._take_from(informed[0], is_informed=True)
+        elif self._knows_nothing():
+            # The sources are away for everybody.  What others still serve by is better
+            # than refusing everything until they are back.
+            for address in self._peers.serving_peers()[:1]:
+                await self._take_from(address, is_informed=False)
+
+    def _knows_nothing(self):
+        return self._view.table is None or not self._targets.entries()
+
+    async def _take_from(self, address, is_informed):
+        try:
+            snapshot = await self._fetch(address)
+        except PlatformUnavailableError as error:
+            self.dependency.failed(error)
+            return
+        if is_informed:
+            self.dependency.answered()
+        if snapshot.table is not None and self._view.advance(snapshot.table):
+            _logger.event(
+                "configuration in force",
+                version=snapshot.table.version,
+                told_by=str(address),
+            )
+        self._targets.replace(snapshot.entries, is_sure=is_informed)
--- a/siskinthread/platform/tests/test_faults.py
+++ b/siskinthread/platform/tests/test_faults.py
@@ -357,3 +357,60 @@
     last_s = defaults.balancer_notice_s + defaults.idle_grace_s
     # A platform that stops a process lets streams of the first 3 s run out.
     assert last_s + 2 * defaults.watch_interval_s < 2.9
+
+
+def test_refusal_that_does_not_say_not_run_is_not_passed_on():
+    """Symptom: a caller is told that its alert did not run, and it had.
+
+    Events: a server answers 503 to a request without stating that it did not run.
+    """
+
+    async def test(system):
+        behave(system, faults.refuse_without_a_word)
+        return status_of(await system.request(ONCE_PATH))
+
+    assert run_system(test) == 502
+
+
+def test_decline_counts_although_its_body_breaks_off():
+    """The head says all: a refusal to the caller, and no second run."""
+
+    async def test(system):
+        behave(system, faults.decline_and_break_off)
+        return status_of(await system.request(ONCE_PATH)), len(system.seen())
+
+    assert run_system(test) == (503, 1)
+
+
+def test_stream_is_not_continued_by_another_kind_of_answer():
+    """Symptom: a second head within a stream.
+
+    Events: the server that should continue a stream answers it with a failure.
+    """
+
+    async def test(system):
+        behave(system, faults.stream(1, 5, cut_within=3), faults.fail)
+        return await system.request(STREAM_PATH)
+
+    response = run_system(test)
+    assert response.count(b"HTTP/1.1") == 1
+    assert not response.endswith(b"0\r\n\r\n")
+
+
+def test_server_that_closes_kept_connections_is_not_blamed():
+    """Symptom: servers are passed over although none has failed.
+
+    Events: a server closes a connection after its answer, just as the next request is
+    written to it.
+    """
+
+    async def test(system):
+        (server,) = system.servers
+        server.behaviours.extend([faults.answer_and_close_later] * 2)
+        health = system.gateway.parts.health
+        statuses = []
+        for _ in range(3):
+            statuses.append(status_of(await system.request(SAFE_PATH)))
+        return statuses, health.is_passed_over(server.instance_id)
+
+    assert run_system(test, server_count=1) == ([200, 200, 200], False)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -190,6 +190,27 @@
     await client.sendall(data)
 
 
+async def refuse_without_a_word(server, request, client):
+    """Answer 503 without saying whether the request ran."""
+    data = answer_bytes(request.request_id, "503 Service Unavailable", b"", sealed())
+    await client.sendall(data)
+
+
+async def decline_and_break_off(server, request, client):
+    """Say that the request was not run, and close within the body."""
+    data = answer_bytes(
+        request.request_id, "503 Service Unavailable", b"full\n", ["X-Not-Executed: 1"]
+    )
+    await client.sendall(data[:-2])
+    return CLOSE
+
+
+async def answer_and_close_later(server, request, client):
+    """Answer, and close the connection without saying so."""
+    await answer_whole(server, request, client)
+    return CLOSE
+
+
 async def misdirect(server, request, client):
     """Say that another instance was expected."""
     data = answer_bytes(
