Let the test of a held-back change wait until the read waits

The test changed the stand-in's configuration before the gateway's read had reached it, so that the read was answered at once.

--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -53,6 +53,8 @@
     """
 
     async def test(system):
+        topic = system.store.topics["keyed.op"]
+        await until(lambda: topic.waiting == 1)
         system.store.mode = "deaf"
         await system.store.put("keyed.op", "config", published(2, keys=["new"]))
         # The waiting read has missed it, and will never be answered.
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -34,14 +34,17 @@
         The records from there on.
     newest : dict of str to tuple
         Offset and value of the newest record of each key.
+    waiting : int
+        Reads that wait for a record.
     """
 
-    __slots__ = ("added", "first", "newest", "records")
+    __slots__ = ("added", "first", "newest", "records", "waiting")
 
     def __init__(self):
         self.first = 0
         self.records = []
         self.newest = {}
+        self.waiting = 0
         self.added = curio.Condition()
 
     @property
@@ -142,7 +145,9 @@
         wait_s = int(request.query.get("wait_ms", 0)) / MILLISECONDS_PER_SECOND
         if start >= topic.end and wait_s:
             async with topic.added:
+                topic.waiting += 1
                 await curio.ignore_after(wait_s, topic.added.wait)
+                topic.waiting -= 1
             if self.mode == "deaf":
                 await curio.sleep(FOR_EVER_S)
         if self.mode == "silent":
