Drop what nothing reads, forget targets that are gone, wait for late reports

Read as a newcomer: goals, pauses, token counts and connection limits were decoded and never used; health and loads of replaced targets stayed for good; the limit after which a left change is taken up did not grow with the lag of reports, on which its argument rests.

--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -88,6 +88,12 @@
         self.loads = TargetLoads(settings, clock)
         self.health = TargetHealth(settings, clock)
         self.pool = TargetPool(settings, clock)
+        self.targets.listen(self._forget)
         self.choice = TargetChoice(
             settings, failure_domain, self.targets, self.loads, self.health, random
         )
+
+    def _forget(self, entry):
+        """Drop what is known of a target that gets no more requests."""
+        self.health.forget(entry.instance_id)
+        self.loads.forget(entry.instance_id)
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -14,26 +14,20 @@
         How long the caller will wait, seconds.
     last_event_id : int or None
         Id of the last event that the caller has of a stream.
-    token_count : int
-        Tokens of the prompt and, at most, of the answer; 0 if not stated.
     """
 
     __slots__ = (
         "api_key",
         "last_event_id",
         "request_id",
-        "token_count",
         "wait_limit_s",
     )
 
-    def __init__(
-        self, request_id, api_key, wait_limit_s, last_event_id=None, token_count=0
-    ):
+    def __init__(self, request_id, api_key, wait_limit_s, last_event_id=None):
         self.request_id = request_id
         self.api_key = api_key
         self.wait_limit_s = wait_limit_s
         self.last_event_id = last_event_id
-        self.token_count = token_count
 
 
 class GatewayRequest:
--- a/siskinthread/gateway/_table.py
+++ b/siskinthread/gateway/_table.py
@@ -15,11 +15,6 @@
     # A stream that another target can continue behind the last event.
     STREAM_RESUMABLE = "stream_resumable"
 
-    @property
-    def is_stream(self):
-        """Whether the answer is a stream of events."""
-        return self in (RequestKind.STREAM_ONCE, RequestKind.STREAM_RESUMABLE)
-
     @property
     def is_repeatable(self):
         """Whether a request that may have run may be sent once more."""
@@ -63,11 +58,6 @@
         Most targets that one request may be sent to.
     wait_limit_s : float
         Longest time until the final answer, seconds.
-    goal_s : float
-        Time within which an answer has its full worth, seconds; for streams, until
-        the first event.
-    pause_limit_s : float
-        Longest pause between two events of a stream that is on time, seconds.
     priority : int
         Rank among routes, 0 first.
     is_public : bool
@@ -76,13 +66,11 @@
 
     __slots__ = (
         "attempt_limit",
-        "goal_s",
         "host",
         "is_public",
         "kind",
         "name",
         "path_prefix",
-        "pause_limit_s",
         "priority",
         "shares",
         "wait_limit_s",
@@ -97,8 +85,6 @@
         shares,
         attempt_limit,
         wait_limit_s,
-        goal_s,
-        pause_limit_s,
         priority,
         is_public,
     ):
@@ -109,8 +95,6 @@
         self.shares = shares
         self.attempt_limit = attempt_limit
         self.wait_limit_s = wait_limit_s
-        self.goal_s = goal_s
-        self.pause_limit_s = pause_limit_s
         self.priority = priority
         self.is_public = is_public
 
@@ -155,27 +139,16 @@
     ----------
     name : str
         Its name.
-    connections_limit : int
-        Most connections that one target takes from everybody together.
-    slot_count : int or None
-        Requests that a model engine runs at once; None for a plain service.
     experts : siskinthread.group_maps.ExpertLayout or None
-        Shape of its expert maps, if it has them.
+        Shape of the expert maps of its targets, if they are ranks of groups.
     """
 
-    __slots__ = ("connections_limit", "experts", "name", "slot_count")
+    __slots__ = ("experts", "name")
 
-    def __init__(self, name, connections_limit, slot_count=None, experts=None):
+    def __init__(self, name, experts=None):
         self.name = name
-        self.connections_limit = connections_limit
-        self.slot_count = slot_count
         self.experts = experts
 
-    @property
-    def is_engine(self):
-        """Whether its targets are model engines."""
-        return self.slot_count is not None
-
 
 class CallerLimits:
     """What a caller may send, and how long it may take.
--- a/siskinthread/gateway/tests/test_table.py
+++ b/siskinthread/gateway/tests/test_table.py
@@ -23,8 +23,6 @@
         shares=[ServiceShare(*share) for share in shares],
         attempt_limit=2,
         wait_limit_s=1.0,
-        goal_s=0.1,
-        pause_limit_s=0.0,
         priority=1,
         is_public=False,
     )
--- a/siskinthread/gateway/tests/test_target_list.py
+++ b/siskinthread/gateway/tests/test_target_list.py
@@ -1,7 +1,12 @@
 """Which targets are believed to serve, around leaving and outages of the list."""
 
+import random
+
+from siskinthread.gateway._parts import GatewayParts
+from siskinthread.gateway._request import LoadReport
 from siskinthread.gateway._target_list import TargetList
 from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
+from siskinthread.observability import Metrics
 
 
 def build():
@@ -73,3 +78,15 @@
     targets.note_leaving("i-2", "its successor")
     targets.note_leaving("i-2", "its successor")
     assert told == ["i-1", "i-2"]
+
+
+def test_nothing_is_kept_of_targets_that_are_gone():
+    """Symptom: memory grows with each target that is replaced."""
+    now = clock()
+    parts = GatewayParts(SETTINGS, "a", None, now, Metrics(), random.Random(1))
+    parts.targets.put(entry("i-1"))
+    parts.loads.report("i-1", LoadReport(1, 0, 6))
+    parts.health.failed("i-1", "can't connect")
+    parts.targets.vanish("i-1")
+    assert not parts.health.is_passed_over("i-1")
+    assert parts.loads.total("i-1") == 0
--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -22,6 +22,9 @@
 LEAST_PASS_S = 0.02
 # Two controllers choose the same version once in a million plans made at once.
 VERSION_STEP = 1_000_000
+# Reports of two ranks may be of different ages.  Waiting for several times their lag
+# keeps what one rank had long done from looking undone beside another's newer report.
+STUCK_LAGS = 4
 LONGEST_PASS_S = 1.0
 
 
@@ -164,9 +167,12 @@
             self._unsettled_since_s = None
             return True
         now_s = self._clock.monotonic_s()
+        limit_s = max(
+            self._settings.stuck_limit_s, STUCK_LAGS * self._layout.report_lag_s
+        )
         if self._unsettled_since_s is None:
             self._unsettled_since_s = now_s
-        elif now_s - self._unsettled_since_s > self._settings.stuck_limit_s:
+        elif now_s - self._unsettled_since_s > limit_s:
             self._unsettled_since_s = None
             if await self._change.finish_or_undo(self._map):
                 self._epoch = None
--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -54,8 +54,6 @@
         shares=_read_shares(route),
         attempt_limit=int(route.get("attempts", 1)),
         wait_limit_s=route["timeout_ms"] / MILLISECONDS_PER_SECOND,
-        goal_s=route.get("target_latency_ms", 0) / MILLISECONDS_PER_SECOND,
-        pause_limit_s=route.get("target_gap_ms", 0) / MILLISECONDS_PER_SECOND,
         priority=int(route.get("priority", 0)),
         is_public=bool(route.get("public", False)),
     )
@@ -84,12 +82,8 @@
 
 def _read_service(service):
     engine = service.get("engine")
-    return Service(
-        service["name"],
-        int(service["max_conns"]),
-        None if engine is None else int(engine["slots"]),
-        None if engine is None else _read_experts(engine),
-    )
+    experts = None if engine is None else _read_experts(engine)
+    return Service(service["name"], experts)
 
 
 def _read_experts(engine):
--- a/siskinthread/platform/_wire.py
+++ b/siskinthread/platform/_wire.py
@@ -8,8 +8,6 @@
 AUTHORIZATION = "authorization"
 TOKEN_PREFIX = "token "
 LAST_EVENT_ID = "last-event-id"
-# Prompt tokens and the most tokens of the answer, separated by a comma.
-TOKEN_COUNTS = "x-token-counts"
 # Name of the client account; servers never see its key.
 ACCOUNT = "x-tenant"
 EXPECTED_INSTANCE = "x-expect-instance"
@@ -50,7 +48,6 @@
             _api_key(head.value(AUTHORIZATION)),
             None if deadline_ms is None else deadline_ms / MILLISECONDS_PER_SECOND,
             last_event_id,
-            _token_count(head.value(TOKEN_COUNTS)),
         )
 
     def target_headers(self, request, entry, last_event_id):
@@ -129,12 +126,6 @@
     return text[len(TOKEN_PREFIX) :].strip()
 
 
-def _token_count(text):
-    if text is None:
-        return 0
-    return sum(_number(part) or 0 for part in text.split(","))
-
-
 def _load(text):
     if text is None:
         return None
