Let one entry host of each failure domain read the target list

Cause: each process read the list once a second, with the reports of all targets in it.

Ruled out: a longer interval for all (a leaving target must get no request after 2 s, and a read may be lost); handing on the changes themselves (a lost datagram would have to be noticed and sent again).

Change: news of a host say up to which position it has read the list, a digest of it, and how old that read is. The informed host with the first address of a domain reads each second and tells its domain at once. A host that hears its own digest knows what the reader knows; another digest, or nothing for 1.2 s, makes it read for itself, so that the age of a host's list is bounded whoever fails. A read that is due is made whatever news say: after a freeze the ages of waiting datagrams are wrong. Datagrams name 8 peers instead of all, and loads of peers no longer count as those of all when each is heard of too rarely.

--- a/siskinthread/gateway/__init__.py
+++ b/siskinthread/gateway/__init__.py
@@ -7,7 +7,6 @@
 `Gateway`.
 """
 
-from siskinthread.gateway._following import TargetChange
 from siskinthread.gateway._gateway import Gateway
 from siskinthread.gateway._request import AnswerFacts, LoadReport, RequestFacts
 from siskinthread.gateway._settings import GatewaySettings
@@ -22,6 +21,7 @@
     Service,
     ServiceShare,
 )
+from siskinthread.gateway._target_following import TargetChange
 from siskinthread.gateway._target_list import TargetEntry
 
 __all__ = [
--- /dev/null
+++ b/siskinthread/gateway/_dependency.py
@@ -0,0 +1,56 @@
+"""Whether the services that this process depends on answer."""
+
+from siskinthread.observability import part_logger
+
+_logger = part_logger("gateway")
+
+
+class Dependency:
+    """Whether a service that this process depends on answers.
+
+    Parameters
+    ----------
+    name : str
+        For the log.
+    clock : siskinthread.timing.Clock
+        Clock of the ages.
+
+    Attributes
+    ----------
+    is_lost : bool
+        Whether the last call failed.
+    """
+
+    __slots__ = ("_answered_at_s", "_clock", "_lost_at_s", "is_lost", "name")
+
+    def __init__(self, name, clock):
+        self.name = name
+        self._clock = clock
+        self._answered_at_s = None
+        self._lost_at_s = None
+        self.is_lost = False
+
+    def answered(self):
+        """Note an answer."""
+        now_s = self._clock.monotonic_s()
+        self._answered_at_s = now_s
+        if self.is_lost:
+            self.is_lost = False
+            _logger.event(
+                "dependency regained",
+                dependency=self.name,
+                after_s=round(now_s - self._lost_at_s, 3),
+            )
+
+    def failed(self, error):
+        """Note a call without an answer."""
+        if not self.is_lost:
+            self.is_lost = True
+            self._lost_at_s = self._clock.monotonic_s()
+            _logger.event("dependency lost", dependency=self.name, reason=str(error))
+
+    def age_s(self):
+        """Return the seconds since the last answer, or None if there was none."""
+        if self._answered_at_s is None:
+            return None
+        return self._clock.monotonic_s() - self._answered_at_s
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -2,7 +2,6 @@
 
 import curio
 
-from siskinthread.gateway._following import TableFollower, TargetFollower
 from siskinthread.gateway._parts import GatewayParts
 from siskinthread.gateway._session import GatewaySession
 from siskinthread.gateway._snapshots import SnapshotFollower
@@ -13,8 +12,11 @@
     StatusSession,
 )
 from siskinthread.gateway._table import TableView
+from siskinthread.gateway._table_following import TableFollower
+from siskinthread.gateway._target_following import TargetFollower
 from siskinthread.http_server import BodyBudget, ConnectionServer
 from siskinthread.observability import part_logger
+from siskinthread.peer_news import HostState
 from siskinthread.timing import Deadline
 
 LIMIT_NAMES = (
@@ -216,6 +218,8 @@
             See `SnapshotFollower`.
         """
         peers.describe = self._describe
+        peers.take_listing = self._target_follower.hear
+        self._target_follower.peers = peers
         self.parts.loads.peers = peers
         self._peers = peers
         self._snapshot_follower = SnapshotFollower(
@@ -310,7 +314,12 @@
         followers = (self._table_follower, self._target_follower)
         is_lost = any(one.dependency.is_lost for one in followers)
         is_known = self._target_follower.dependency.age_s() is not None
-        return version, is_known and not is_lost, self.parts.loads.own_counts()
+        return HostState(
+            version,
+            is_known and not is_lost,
+            self.parts.loads.own_counts(),
+            self._target_follower.statement(),
+        )
 
     async def _keep_up(self):
         """Close connections to targets that have rested too long or are not needed."""
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -257,8 +257,17 @@
         float,
         default=1.0,
         minimum=0.01,
-        description="Time between two reads of the target list. A target that leaves "
-        "may get requests for 2 s more; one read can be lost, or be slow for 1 s.",
+        description="Time between two reads of the target list by the host that reads "
+        "for its failure domain. A target that leaves may get requests for 2 s more; "
+        "one read can be lost, or be slow for 1 s.",
+    )
+    target_age_limit_s = Item(
+        float,
+        default=1.2,
+        minimum=0.01,
+        description="Age of what a host knows of the target list, by itself or from a "
+        "peer, at which it reads the list. A read that takes 0.8 s still ends within "
+        "the 2 s for which a leaving target may get requests.",
     )
     upkeep_interval_s = Item(
         float,
--- a/siskinthread/gateway/_snapshots.py
+++ b/siskinthread/gateway/_snapshots.py
@@ -3,7 +3,7 @@
 import curio
 
 from siskinthread.errors import PlatformUnavailableError
-from siskinthread.gateway._following import Dependency
+from siskinthread.gateway._dependency import Dependency
 from siskinthread.observability import part_logger
 
 _logger = part_logger("gateway")
--- /dev/null
+++ b/siskinthread/gateway/_target_following.py
@@ -0,0 +1,183 @@
+"""Following which targets there are.
+
+Each read of the list is a call to a service that all hosts share, and carries the
+reports of all targets.  So one host of each failure domain reads; the others hear from
+it at which position it has read which digest.  With the same digest they know what it
+knows, with another one they read for themselves, and as well when they have heard
+nothing for ``target_age_limit_s``: how old a host's list may be does not depend on
+others.
+"""
+
+import curio
+
+from siskinthread.errors import PlatformUnavailableError, PositionExpiredError
+from siskinthread.gateway._dependency import Dependency
+from siskinthread.gateway._list_digest import ListDigest
+from siskinthread.observability import part_logger
+from siskinthread.peer_news import ListStatement
+from siskinthread.timing import Deadline
+
+_logger = part_logger("gateway")
+
+
+class TargetFollower:
+    """Keeps the target list up to date.
+
+    Parameters
+    ----------
+    source : object
+        ``async read_all()`` returns the list of `TargetEntry` and a position; ``async
+        read_changes(position)`` the list of `TargetChange` and the next position.
+        Both raise like the source of a `TableFollower`.
+    targets : TargetList
+        Where they are noted.
+    settings : GatewaySettings
+        Times.
+    clock : siskinthread.timing.Clock
+        Clock of the ages.
+    when_regained : callable
+        Coroutine function that is called when the source answers again.
+
+    Attributes
+    ----------
+    dependency : Dependency
+        Whether the source answers.
+    peers : siskinthread.peer_news.PeerNews or None
+        Tells whether this host reads for others, and tells them.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_digest",
+        "_heard",
+        "_next_read",
+        "_position",
+        "_read_at_s",
+        "_settings",
+        "_source",
+        "_targets",
+        "_when_regained",
+        "dependency",
+        "peers",
+    )
+
+    def __init__(self, source, targets, settings, clock, when_regained):
+        self._when_regained = when_regained
+        self._source = source
+        self._targets = targets
+        self._settings = settings
+        self._clock = clock
+        self._position = None
+        self._digest = ListDigest()
+        self._read_at_s = None
+        self._next_read = Deadline.after(clock, 0.0)
+        self._heard = curio.Event()
+        self.dependency = Dependency("target list", clock)
+        self.peers = None
+
+    async def run(self):
+        """Follow for ever."""
+        while True:
+            await self._wait_until_due()
+            began_at_s = self._clock.monotonic_s()
+            try:
+                await self._read()
+            except PlatformUnavailableError as error:
+                self.dependency.failed(error)
+                self._targets.note_outage()
+                await curio.sleep(self._settings.source_retry_s)
+                continue
+            except PositionExpiredError as error:
+                _logger.event("target list is read anew", reason=str(error))
+                self._position = None
+                continue
+            if self.dependency.is_lost:
+                await self._when_regained()
+            self.dependency.answered()
+            self._targets.expire_lapsed()
+            await self._note_read(began_at_s)
+
+    def statement(self):
+        """Return what this host has read itself, as a `ListStatement`, or None."""
+        if self._read_at_s is None or self._position is None:
+            return None
+        age_s = self._clock.monotonic_s() - self._read_at_s
+        return ListStatement(self._position, self._digest.value, age_s)
+
+    async def hear(self, statement):
+        """Take what a peer has read.
+
+        Parameters
+        ----------
+        statement : siskinthread.peer_news.ListStatement
+            Position, digest and age of its read.
+
+        Notes
+        -----
+        A read that is due is made whatever peers say: a process that was stopped for
+        seconds finds news in its socket whose ages no longer hold.
+        """
+        if self._position is None or self._next_read.passed():
+            return
+        if statement.digest == self._digest.value:
+            self._position = max(self._position, statement.position)
+            left_s = self._age_limit_s() - statement.age_s
+            if left_s > self._next_read.left_s():
+                self._next_read = Deadline.after(self._clock, left_s)
+        elif statement.position > self._position:
+            self._next_read = Deadline.after(self._clock, 0.0)
+            await self._heard.set()
+
+    async def _wait_until_due(self):
+        while not self._next_read.passed():
+            self._heard.clear()
+            await curio.ignore_after(self._next_read.left_s(), self._heard.wait)
+
+    async def _note_read(self, began_at_s):
+        self._read_at_s = began_at_s
+        spent_s = self._clock.monotonic_s() - began_at_s
+        left_s = max(0.0, self._age_limit_s() - spent_s)
+        self._next_read = Deadline.after(self._clock, left_s)
+        if self._reads_for_others():
+            await self.peers.tell_domain()
+
+    def _age_limit_s(self):
+        if self.peers is None or self._reads_for_others():
+            return self._settings.target_interval_s
+        return self._settings.target_age_limit_s
+
+    def _reads_for_others(self):
+        return self.peers is not None and self.peers.is_reader()
+
+    async def _read(self):
+        if self._position is None:
+            entries, self._position = await self._source.read_all()
+            self._digest.replace(entries)
+            self._targets.replace(entries)
+            return
+        changes, self._position = await self._source.read_changes(self._position)
+        for change in changes:
+            if change.entry is None:
+                self._digest.remove(change.instance_id)
+                self._targets.vanish(change.instance_id)
+            else:
+                self._digest.put(change.entry)
+                self._targets.put(change.entry)
+
+
+class TargetChange:
+    """A change of the target list.
+
+    Parameters
+    ----------
+    instance_id : str
+        The target.
+    entry : TargetEntry or None
+        Its new entry; None if it is not listed any more.
+    """
+
+    __slots__ = ("entry", "instance_id")
+
+    def __init__(self, instance_id, entry):
+        self.instance_id = instance_id
+        self.entry = entry
--- a/siskinthread/gateway/_target_loads.py
+++ b/siskinthread/gateway/_target_loads.py
@@ -73,7 +73,7 @@
     def total(self, instance_id):
         """Return the number of requests that a target is believed to have."""
         own = self.own(instance_id)
-        if self.peers is not None and self.peers.has_fresh_news():
+        if self.peers is not None and self.peers.has_fresh_loads():
             return own + self.peers.counts(instance_id)
         reported = self._reported.get(instance_id)
         if reported is None or reported.expiry.passed():
@@ -82,7 +82,7 @@
 
     def source(self):
         """Return what others' requests are known by, for the log."""
-        if self.peers is not None and self.peers.has_fresh_news():
+        if self.peers is not None and self.peers.has_fresh_loads():
             return "peers"
         return "the targets' own reports"
 
--- a/siskinthread/peer_news/__init__.py
+++ b/siskinthread/peer_news/__init__.py
@@ -1,12 +1,14 @@
 """What entry hosts tell one another by datagrams: loads, and how new their news are.
 
-Interface: ``PeerNews(settings, address, first_peers, clock)`` with ``async run()``,
-``counts(instance_id)``, ``newest_version()`` and ``informed_peers()``; ``describe`` is
-set to a callable that tells the state of this process.
+Interface: ``PeerNews(settings, address, failure_domain, first_peers, clock, random)``
+with ``async run()``, ``counts(instance_id)``, ``newest_version()``,
+``informed_peers()``, ``is_reader()`` and ``async tell_domain()``; ``describe`` is set
+to a callable that returns the `HostState` of this process, ``take_listing`` to a
+coroutine function that takes each `ListStatement` of a peer.
 """
 
-from siskinthread.peer_news._news import News
+from siskinthread.peer_news._news import HostState, ListStatement, News
 from siskinthread.peer_news._peers import PeerNews
 from siskinthread.peer_news._settings import PeerNewsSettings
 
-__all__ = ["News", "PeerNews", "PeerNewsSettings"]
+__all__ = ["HostState", "ListStatement", "News", "PeerNews", "PeerNewsSettings"]
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -5,6 +5,62 @@
 from siskinthread.errors import ProtocolError
 from siskinthread.settings import Address
 
+MILLISECONDS_PER_SECOND = 1000
+
+
+class ListStatement:
+    """What a host has read of the target list itself.
+
+    Parameters
+    ----------
+    position : int
+        Position in the list's source up to which it has read.
+    digest : int
+        Digest of the list there; equal lists have equal ones.
+    age_s : float
+        Time since that read began, seconds.
+    """
+
+    __slots__ = ("age_s", "digest", "position")
+
+    def __init__(self, position, digest, age_s):
+        self.position = position
+        self.digest = digest
+        self.age_s = age_s
+
+
+class HostState:
+    """What one entry host knows and does.
+
+    Parameters
+    ----------
+    table_version : int
+        Version of the configuration in force there; 0 without one.
+    is_informed : bool
+        Whether it has fresh news of the configuration and the targets itself.
+    counts : dict of str to int
+        Its own requests by target.
+    listing : ListStatement or None
+        Its last read of the target list, if any.
+    """
+
+    __slots__ = ("counts", "is_informed", "listing", "table_version")
+
+    def __init__(self, table_version, is_informed, counts, listing=None):
+        self.table_version = table_version
+        self.is_informed = is_informed
+        self.counts = counts
+        self.listing = listing
+
+    def looks_like(self, other):
+        """Return whether peers would learn nothing from this beside another state."""
+        return (
+            other is not None
+            and self.table_version == other.table_version
+            and self.is_informed == other.is_informed
+            and self.counts == other.counts
+        )
+
 
 class News:
     """What one entry host tells the others.
@@ -16,34 +72,35 @@
     ----------
     sender : siskinthread.settings.Address
         Where the sender takes news.
-    table_version : int
-        Version of the configuration in force there; 0 without one.
-    is_informed : bool
-        Whether the sender has fresh news of the configuration and the targets itself.
-    counts : dict of str to int
-        The sender's own requests by target.
+    failure_domain : str
+        Where the sender runs.
+    state : HostState
+        What it knows and does.
     peers : list of siskinthread.settings.Address
-        Other entry hosts that the sender knows.
+        Some other entry hosts that the sender knows.
     """
 
-    __slots__ = ("counts", "is_informed", "peers", "sender", "table_version")
+    __slots__ = ("failure_domain", "peers", "sender", "state")
 
-    def __init__(self, sender, table_version, is_informed, counts, peers):
+    def __init__(self, sender, failure_domain, state, peers):
         self.sender = sender
-        self.table_version = table_version
-        self.is_informed = is_informed
-        self.counts = counts
+        self.failure_domain = failure_domain
+        self.state = state
         self.peers = peers
 
     def encode(self):
         """Return the datagram."""
+        state = self.state
         document = {
             "sender": str(self.sender),
-            "version": self.table_version,
-            "informed": self.is_informed,
-            "counts": self.counts,
+            "domain": self.failure_domain,
+            "version": state.table_version,
+            "informed": state.is_informed,
+            "counts": state.counts,
             "peers": [str(peer) for peer in self.peers],
         }
+        if state.listing is not None:
+            document["listing"] = _encode_listing(state.listing)
         return json.dumps(document, separators=(",", ":")).encode()
 
     @classmethod
@@ -57,12 +114,31 @@
         """
         try:
             document = json.loads(data)
-            return cls(
-                Address.parse(document["sender"]),
+            state = HostState(
                 int(document["version"]),
                 bool(document["informed"]),
                 {str(one): int(n) for one, n in document["counts"].items()},
+                _decode_listing(document.get("listing")),
+            )
+            return cls(
+                Address.parse(document["sender"]),
+                str(document["domain"]),
+                state,
                 [Address.parse(peer) for peer in document["peers"]],
             )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ProtocolError(f"unreadable news: {error!r}") from error
+
+
+def _encode_listing(listing):
+    age_ms = round(listing.age_s * MILLISECONDS_PER_SECOND)
+    return [listing.position, listing.digest, age_ms]
+
+
+def _decode_listing(row):
+    if row is None:
+        return None
+    position, digest, age_ms = row
+    return ListStatement(
+        int(position), int(digest), max(0, int(age_ms)) / MILLISECONDS_PER_SECOND
+    )
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -14,11 +14,12 @@
 class _Peer:
     """What is known of one peer."""
 
-    __slots__ = ("fresh", "known", "news")
+    __slots__ = ("fresh", "known", "loads_fresh", "news")
 
     def __init__(self, known):
         self.news = None
         self.fresh = None
+        self.loads_fresh = None
         self.known = known
 
 
@@ -31,15 +32,21 @@
         Times.
     address : siskinthread.settings.Address
         Where this process takes news.
+    failure_domain : str
+        Where this process runs.
     first_peers : list of siskinthread.settings.Address
         Entry hosts to tell first; the others are learnt from their news.
     clock : siskinthread.timing.Clock
         Clock of the times.
+    random : random.Random
+        Chooses which peers a datagram names.
 
     Attributes
     ----------
     describe : callable or None
-        Returns table version, whether it is informed, and counts by target.
+        Returns this process's `HostState`.
+    take_listing : callable or None
+        Coroutine function that is called with each `ListStatement` of a peer.
 
     Notes
     -----
@@ -51,53 +58,83 @@
     __slots__ = (
         "_address",
         "_clock",
+        "_failure_domain",
         "_first_peers",
         "_last_sent",
         "_peers",
         "_quiet_deadline",
+        "_random",
         "_settings",
         "_socket",
         "describe",
+        "take_listing",
     )
 
-    def __init__(self, settings, address, first_peers, clock):
+    def __init__(self, settings, address, failure_domain, first_peers, clock, random):
         self._settings = settings
         self._address = address
         self._first_peers = [one for one in first_peers if one != address]
+        self._failure_domain = failure_domain
         self._clock = clock
+        self._random = random
         self._peers = {}
         self._socket = None
         self._last_sent = None
         self._quiet_deadline = Deadline.after(clock, 0.0)
         self.describe = None
+        self.take_listing = None
 
     def counts(self, instance_id):
         """Return the requests that peers have at a target, as last heard."""
-        return sum(peer.news.counts.get(instance_id, 0) for peer in self._fresh_peers())
+        return sum(
+            peer.news.state.counts.get(instance_id, 0)
+            for peer in self._peers.values()
+            if peer.loads_fresh is not None and not peer.loads_fresh.passed()
+        )
 
-    def has_fresh_news(self):
-        """Return whether any peer has been heard of lately."""
-        return any(True for _ in self._fresh_peers())
+    def has_fresh_loads(self):
+        """Return whether the loads that peers told of lately are those of all.
+
+        With so many peers that each is heard of less often than its loads count, they
+        are a part only.
+        """
+        if self._told_interval_s() > self._settings.fresh_limit_s:
+            return False
+        return any(True for _ in self._fresh_news())
 
     def newest_version(self):
         """Return the highest configuration version that a peer has told of."""
-        versions = [peer.news.table_version for peer in self._fresh_peers()]
+        versions = [news.state.table_version for news in self._fresh_news()]
         return max(versions, default=0)
 
     def informed_peers(self):
         """Return the addresses of peers that know most, the newest version first."""
-        informed = [peer.news for peer in self._fresh_peers() if peer.news.is_informed]
-        informed.sort(key=lambda news: news.table_version, reverse=True)
-        return [news.sender for news in informed]
+        return _newest_first(one for one in self._fresh_news() if one.state.is_informed)
 
     def serving_peers(self):
         """Return the addresses of peers that have a configuration, newest first.
 
         They may be cut off from its source themselves.
         """
-        serving = [peer.news for peer in self._fresh_peers() if peer.news.table_version]
-        serving.sort(key=lambda news: news.table_version, reverse=True)
-        return [news.sender for news in serving]
+        return _newest_first(
+            one for one in self._fresh_news() if one.state.table_version
+        )
+
+    def is_reader(self):
+        """Return whether this process reads the target list for its failure domain.
+
+        It is the informed one with the first address.  While hosts come and go, two may
+        be it, or none; each host still reads for itself when it hears of no read.
+        """
+        return not any(
+            news.state.is_informed and str(news.sender) < str(self._address)
+            for news in self._domain_news()
+        )
+
+    async def tell_domain(self):
+        """Send news to the peers of the own failure domain, without waiting."""
+        if self._socket is not None:
+            await self._send_to([news.sender for news in self._domain_news()])
 
     async def run(self):
         """Exchange news until cancelled."""
@@ -116,7 +153,9 @@
         while True:
             try:
                 data, _ = await self._socket.recvfrom(self._settings.size_limit_bytes)
-                self._take(News.decode(data))
+                news = News.decode(data)
+                self._take(news)
+                await self._pass_on(news.state.listing)
             except ProtocolError as error:
                 _logger.event("news dropped", reason=str(error))
             except ConnectionError:
@@ -129,12 +168,18 @@
         if peer is None:
             peer = self._add(news.sender)
         peer.news = news
-        peer.fresh = Deadline.after(self._clock, settings.fresh_limit_s)
+        peer.loads_fresh = Deadline.after(self._clock, settings.fresh_limit_s)
+        told_s = settings.quiet_interval_s + self._told_interval_s()
+        peer.fresh = Deadline.after(self._clock, max(settings.fresh_limit_s, told_s))
         peer.known = Deadline.after(self._clock, settings.forget_after_s)
         for address in news.peers:
             if address not in self._peers and address != self._address:
                 self._add(address)
 
+    async def _pass_on(self, listing):
+        if listing is not None and self.take_listing is not None:
+            await self.take_listing(listing)
+
     def _add(self, address):
         known = Deadline.after(self._clock, self._settings.forget_after_s)
         peer = self._peers[address] = _Peer(known)
@@ -145,26 +190,41 @@
         while True:
             self._forget_silent()
             await self._send_if_due()
-            settings = self._settings
-            crowd = max(1.0, len(self._peers) / settings.peers_at_full_rate)
-            await curio.sleep(settings.interval_s * crowd)
+            await curio.sleep(self._told_interval_s())
+
+    def _told_interval_s(self):
+        """Return the time between two news of a process whose loads change."""
+        settings = self._settings
+        crowd = max(1.0, len(self._peers) / settings.peers_at_full_rate)
+        return settings.interval_s * crowd
 
     async def _send_if_due(self):
-        described = self.describe()
-        if described == self._last_sent and not self._quiet_deadline.passed():
+        state = self.describe()
+        if state.looks_like(self._last_sent) and not self._quiet_deadline.passed():
             return
-        self._last_sent = described
+        self._last_sent = state
         self._quiet_deadline = Deadline.after(
             self._clock, self._settings.quiet_interval_s
         )
-        heard = [address for address, one in self._peers.items() if one.news]
-        data = News(self._address, *described, peers=heard).encode()
-        for address in {*self._peers, *self._first_peers}:
+        await self._send_to({*self._peers, *self._first_peers})
+
+    async def _send_to(self, addresses):
+        state = self.describe()
+        data = News(
+            self._address, self._failure_domain, state, self._some_peers()
+        ).encode()
+        for address in addresses:
             try:
                 await self._socket.sendto(data, (address.host, address.port))
             except OSError as error:
                 _logger.event("news not sent", peer=str(address), reason=str(error))
 
+    def _some_peers(self):
+        """Return a few peers, so that news don't grow with their number."""
+        heard = [address for address, one in self._peers.items() if one.news]
+        count = min(len(heard), self._settings.peers_told_count)
+        return self._random.sample(heard, count)
+
     def _forget_silent(self):
         for address in [
             one for one, peer in self._peers.items() if peer.known.passed()
@@ -172,9 +232,22 @@
             del self._peers[address]
             _logger.event("peer forgotten", peer=str(address))
 
-    def _fresh_peers(self):
+    def _fresh_news(self):
         return (
-            peer
+            peer.news
             for peer in self._peers.values()
             if peer.fresh is not None and not peer.fresh.passed()
         )
+
+    def _domain_news(self):
+        return [
+            news
+            for news in self._fresh_news()
+            if news.failure_domain == self._failure_domain
+        ]
+
+
+def _newest_first(all_news):
+    """Return the senders of news, those with the newest configuration first."""
+    ranked = sorted(all_news, key=lambda news: news.state.table_version, reverse=True)
+    return [news.sender for news in ranked]
--- a/siskinthread/peer_news/_settings.py
+++ b/siskinthread/peer_news/_settings.py
@@ -40,6 +40,14 @@
         description="Silence after which a peer is not told any more; longer than the "
         "longest usual cut of a failure domain.",
     )
+    peers_told_count = Item(
+        int,
+        default=8,
+        minimum=1,
+        description="Other hosts that each datagram names, so that its size does not "
+        "grow with their number. With 8 of 300 named, ten a second, all are known "
+        "within seconds.",
+    )
     size_limit_bytes = Item(
         int,
         default=8192,
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -1,11 +1,19 @@
 """News between entry hosts over loopback."""
 
+import random
+
 import curio
 import pytest
 from hypothesis import given, strategies as st
 
 from siskinthread.errors import ProtocolError
-from siskinthread.peer_news import News, PeerNews, PeerNewsSettings
+from siskinthread.peer_news import (
+    HostState,
+    ListStatement,
+    News,
+    PeerNews,
+    PeerNewsSettings,
+)
 from siskinthread.settings import Address
 from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
@@ -26,10 +34,10 @@
     return addresses
 
 
-def build(address, first_peers, described):
+def build(address, first_peers, state, domain="a", clock=SYSTEM_CLOCK):
     """Return the news of one host."""
-    news = PeerNews(SETTINGS, address, first_peers, SYSTEM_CLOCK)
-    news.describe = lambda: described
+    news = PeerNews(SETTINGS, address, domain, first_peers, clock, random.Random(1))
+    news.describe = lambda: state
     return news
 
 
@@ -47,7 +55,7 @@
         addresses = free_addresses(3)
         first = addresses[0]
         hosts = [
-            build(one, [first], (number + 4, number > 0, {"i-1": number}))
+            build(one, [first], HostState(number + 4, number > 0, {"i-1": number}))
             for number, one in enumerate(addresses)
         ]
         tasks = [await curio.spawn(host.run) for host in hosts]
@@ -71,12 +79,13 @@
     """
     clock = ManualClock()
     here, there = Address("127.0.0.1", 1), Address("127.0.0.1", 2)
-    news = PeerNews(SETTINGS, here, [], clock)
-    news._take(News(there, 5, True, {"i-1": 4}, []))
+    news = build(here, [], None, clock=clock)
+    news._take(News(there, "a", HostState(5, True, {"i-1": 4}), []))
     assert news.counts("i-1") == 4
     clock.advance(SETTINGS.fresh_limit_s + 0.01)
     assert news.counts("i-1") == 0
     assert news.newest_version() == 0
+    assert not news.has_fresh_loads()
     clock.advance(SETTINGS.forget_after_s)
     news._forget_silent()
     assert not news._peers
@@ -92,6 +101,58 @@
 def test_news_come_back_as_they_were_sent():
     """A datagram holds everything."""
     peer = Address("10.0.0.1", 7340)
-    news = News.decode(News(peer, 3, True, {"i-1": 2}, [peer]).encode())
-    assert (news.sender, news.table_version, news.is_informed) == (peer, 3, True)
-    assert (news.counts, news.peers) == ({"i-1": 2}, [peer])
+    sent = HostState(3, True, {"i-1": 2}, ListStatement(70, 2**47, 0.25))
+    news = News.decode(News(peer, "b", sent, [peer]).encode())
+    state, listing = news.state, news.state.listing
+    assert (news.sender, news.failure_domain, news.peers) == (peer, "b", [peer])
+    assert (state.table_version, state.is_informed) == (3, True)
+    assert state.counts == {"i-1": 2}
+    assert (listing.position, listing.digest, listing.age_s) == (70, 2**47, 0.25)
+
+
+def test_first_informed_host_of_a_domain_reads_for_it():
+    """Symptom: every host pays for reading the same list, or none reads it.
+
+    Events: hosts of two failure domains tell of themselves; the first one is cut off,
+    then falls silent.
+    """
+    clock = ManualClock()
+    here = Address("10.0.0.5", 1)
+    news = build(here, [], None, clock=clock)
+    assert news.is_reader()
+    news._take(News(Address("10.0.0.1", 1), "b", HostState(1, True, {}), []))
+    news._take(News(Address("10.0.0.9", 1), "a", HostState(1, True, {}), []))
+    assert news.is_reader()
+    first = Address("10.0.0.2", 1)
+    news._take(News(first, "a", HostState(1, True, {}), []))
+    assert not news.is_reader()
+    news._take(News(first, "a", HostState(1, False, {}), []))
+    assert news.is_reader()
+    news._take(News(first, "a", HostState(1, True, {}), []))
+    clock.advance(SETTINGS.fresh_limit_s + 0.01)
+    assert news.is_reader()
+
+
+def test_datagram_does_not_grow_with_the_number_of_peers():
+    """Symptom: datagrams of a large fleet exceed their limit and are cut."""
+    news = build(Address("10.0.0.1", 1), [], None)
+    for number in range(300):
+        sender = Address(f"10.0.{number // 250 + 1}.{number % 250}", 1)
+        news._take(News(sender, "a", HostState(1, True, {}), []))
+    assert len(news._some_peers()) == SETTINGS.peers_told_count
+
+
+def test_rare_news_of_a_large_fleet_count_for_versions_but_not_as_loads():
+    """Symptom: targets look idle that are busy.
+
+    Events: with 300 peers each is heard of every 4 s.  Cause: the few loads that are
+    fresh at a moment were taken for those of all.
+    """
+    clock = ManualClock()
+    news = build(Address("10.0.0.1", 1), [], None, clock=clock)
+    for number in range(300):
+        sender = Address(f"10.0.{number // 250 + 1}.{number % 250}", 1)
+        news._take(News(sender, "a", HostState(4, True, {"i-1": 1}), []))
+    assert not news.has_fresh_loads()
+    clock.advance(SETTINGS.fresh_limit_s + 0.01)
+    assert news.newest_version() == 4
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -89,8 +89,10 @@
         peers = PeerNews(
             tuning.peer_news,
             settings.peer_address,
+            settings.failure_domain,
             settings.first_peers,
             SYSTEM_CLOCK,
+            random.Random(),
         )
         self._gateway.hear_peers(peers, self._fetch_snapshot)
         self._group_control = GroupControl(
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -93,11 +93,20 @@
         self.informed = []
         self.serving = []
         self.describe = None
+        self.take_listing = None
+        self.reader = True
 
     async def run(self):
         """Exchange nothing."""
 
-    def has_fresh_news(self):
+    def is_reader(self):
+        """Return whether the host is said to read for its failure domain."""
+        return self.reader
+
+    async def tell_domain(self):
+        """Tell nobody."""
+
+    def has_fresh_loads(self):
         """Tell of no loads."""
         return False
 
