Split the behaviours of the stand-in server, add a service under load

A service that works with limited slots, notes what it ran and draws faults by share is added for failure runs; nothing uses it yet.

--- a/siskinthread/platform/tests/test_faults.py
+++ b/siskinthread/platform/tests/test_faults.py
@@ -18,7 +18,7 @@
     until,
 )
 from siskinthread.timing import SYSTEM_CLOCK
-from standins import platform_server as faults
+from standins import platform_behaviours as faults
 
 EVENTS = b"".join(faults.event(number) for number in range(1, 6))
 
--- a/siskinthread/platform/tests/test_golden.py
+++ b/siskinthread/platform/tests/test_golden.py
@@ -19,7 +19,7 @@
     SAFE_PATH,
     STREAM_PATH,
 )
-from standins import platform_server as faults
+from standins import platform_behaviours as faults
 
 FOLDER = Path(__file__).parent / "golden"
 # What differs from run to run.
--- a/siskinthread/platform/tests/test_path.py
+++ b/siskinthread/platform/tests/test_path.py
@@ -16,7 +16,7 @@
     STREAM_PATH,
     until,
 )
-from standins import platform_server as faults
+from standins import platform_behaviours as faults
 
 
 def test_request_and_answer_pass_unchanged():
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -1,12 +1,12 @@
 """Stand-in of a server on the users' platform, with faults by the connection.
 
 It reads a request, notes that it came, and answers as the next of its scripted
-behaviours says; without one it answers whole.  Answers are written as bytes, since most
-faults are not HTTP that a library would send.
+behaviours says; without one it answers whole, or as a `SteadyService` does.
 
 Run it with ``python -m standins.platform_server --port 0 --instance-id i-1``.  ``POST
 /faults`` takes ``behaviours``: names of `BEHAVIOURS` for the next requests, in place of
-those before.
+those before; with ``--steady`` also ``shares`` and ``seed``, and ``GET /runs`` answers
+what `SteadyService` has noted.
 """
 
 import argparse
@@ -15,8 +15,15 @@
 
 import curio
 
+from standins.platform_behaviours import (
+    answer_bytes,
+    answer_whole,
+    BEHAVIOURS,
+    CLOSE,
+)
+from standins.platform_service import SteadyService
+
 READ_SIZE_BYTES = 65_536
-SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
 class SeenRequest:
@@ -52,6 +59,10 @@
     ----------
     instance_id : str
         Its id.
+    host, port : str, int
+        Where it listens; port 0 lets the system choose.
+    default : callable
+        What it does when no behaviour is scripted.
 
     Attributes
     ----------
@@ -64,6 +75,7 @@
     """
 
     __slots__ = (
+        "_default",
         "_listener",
         "_task",
         "behaviours",
@@ -75,8 +87,9 @@
         "seen",
     )
 
-    def __init__(self, instance_id, host="127.0.0.1", port=0):
+    def __init__(self, instance_id, host="127.0.0.1", port=0, default=answer_whole):
         self.instance_id = instance_id
+        self._default = default
         self.seen = []
         self.behaviours = deque()
         self.closed_early = curio.Event()
@@ -105,24 +118,33 @@
                 request, rest = await read_request(client, rest)
                 if request is None:
                     return
-                if request.line.startswith("POST /faults "):
-                    self._set_faults(json.loads(request.body))
-                    await client.sendall(answer_bytes("", body=b""))
+                controlled = self._control(request)
+                if controlled is not None:
+                    body = json.dumps(controlled).encode()
+                    await client.sendall(answer_bytes("", body=body))
                     continue
                 self.seen.append(request)
-                behave = self.behaviours.popleft() if self.behaviours else answer_whole
+                behave = self._default
+                if self.behaviours:
+                    behave = self.behaviours.popleft()
                 if await behave(self, request, client) is CLOSE:
                     return
         except OSError:
             return
 
-    def _set_faults(self, faults):
+    def _control(self, request):
+        """Carry out a call of whoever runs the stand-in; return its answer, or None."""
+        if request.line.startswith("GET /runs "):
+            return self._default.as_json()
+        if not request.line.startswith("POST /faults "):
+            return None
+        faults = json.loads(request.body)
         self.behaviours.clear()
-        for name in faults["behaviours"]:
+        for name in faults.get("behaviours", ()):
             self.behaviours.append(BEHAVIOURS[name])
-
-
-CLOSE = object()
+        if "shares" in faults:
+            self._default.set_faults(faults["shares"], faults["seed"])
+        return {}
 
 
 async def read_request(client, rest):
@@ -147,202 +169,22 @@
     return SeenRequest(line, headers, rest[:size]), rest[size:]
 
 
-def answer_bytes(request_id, status="200 OK", body=b"done\n", headers=()):
-    """Return a whole answer."""
-    lines = [
-        f"HTTP/1.1 {status}",
-        f"X-Request-Id: {request_id}",
-        f"Content-Length: {len(body)}",
-        *headers,
-    ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
-def sealed(headers=()):
-    """Return the headers of an answer that the server stands by."""
-    return [f"X-Response-Seal: {SEAL}", "X-Server-Load: 1,0,6", *headers]
-
-
-async def answer_whole(server, request, client):
-    """Answer with success."""
-    await client.sendall(answer_bytes(request.request_id, headers=sealed()))
-
-
-async def decline(server, request, client):
-    """Say that the request was not run."""
-    data = answer_bytes(
-        request.request_id,
-        "503 Service Unavailable",
-        b"",
-        ["X-Not-Executed: 1", "X-Server-Load: 6,6,6"],
-    )
-    await client.sendall(data)
-
-
-async def decline_for_group(server, request, client):
-    """Say that the request was not run since another rank has failed."""
-    data = answer_bytes(
-        request.request_id,
-        "503 Service Unavailable",
-        b"",
-        ["X-Not-Executed: 1", "At-Server: i-other"],
-    )
-    await client.sendall(data)
-
-
-async def refuse_without_a_word(server, request, client):
-    """Answer 503 without saying whether the request ran."""
-    data = answer_bytes(request.request_id, "503 Service Unavailable", b"", sealed())
-    await client.sendall(data)
-
-
-async def decline_and_break_off(server, request, client):
-    """Say that the request was not run, and close within the body."""
-    data = answer_bytes(
-        request.request_id, "503 Service Unavailable", b"full\n", ["X-Not-Executed: 1"]
-    )
-    await client.sendall(data[:-2])
-    return CLOSE
-
-
-async def answer_and_close_later(server, request, client):
-    """Answer, and close the connection without saying so."""
-    await answer_whole(server, request, client)
-    return CLOSE
-
-
-async def misdirect(server, request, client):
-    """Say that another instance was expected."""
-    data = answer_bytes(
-        request.request_id, "421 Misdirected Request", b"", ["X-Instance-Id: i-new"]
-    )
-    await client.sendall(data)
-
-
-async def fail(server, request, client):
-    """Run the request and fail."""
-    data = answer_bytes(
-        request.request_id, "500 Internal Server Error", b"sorry\n", sealed()
-    )
-    await client.sendall(data)
-
-
-async def lose_answer(server, request, client):
-    """Run the request and close the connection."""
-    return CLOSE
-
-
-async def cut_answer(server, request, client):
-    """Close within the body."""
-    await client.sendall(answer_bytes(request.request_id, headers=sealed())[:-2])
-    return CLOSE
-
-
-async def answer_twice(server, request, client):
-    """Answer, and answer once more."""
-    answer = answer_bytes(request.request_id, headers=sealed())
-    await client.sendall(answer + answer)
-
-
-async def answer_another_first(server, request, client):
-    """Send the answer to some other request before this one's."""
-    other = answer_bytes("another-request", body=b"not yours\n", headers=sealed())
-    await client.sendall(other + answer_bytes(request.request_id, headers=sealed()))
-
-
-async def answer_nonsense(server, request, client):
-    """Send bytes that are no answer."""
-    await client.sendall(b"\x00\x01\x02 nonsense\r\n\r\n")
-
-
-async def hang(server, request, client):
-    """Answer nothing, and note when the caller leaves."""
-    while await client.recv(READ_SIZE_BYTES):
-        pass
-    await server.closed_early.set()
-    return CLOSE
-
-
-async def answer_until_close(server, request, client):
-    """Answer without a length; the connection's end is the answer's."""
-    head = ["HTTP/1.1 200 OK", f"X-Request-Id: {request.request_id}", *sealed()]
-    await client.sendall("\r\n".join(head).encode() + b"\r\n\r\ndone\n")
-    return CLOSE
-
-
-def event(number):
-    """Return one event of a stream."""
-    return f"id: {number}\ndata: token {number}\n\n".encode()
-
-
-def stream(first, last, cut_within=None, gap_s=0.0):
-    """Return a behaviour that sends events, and may close within one of them.
-
-    Parameters
-    ----------
-    first, last : int
-        Ids of the first and the last event.
-    cut_within : int or None
-        Event in whose middle the connection is closed.
-    gap_s : float
-        Pause before each event.
-    """
-
-    async def behave(server, request, client):
-        head = [
-            "HTTP/1.1 200 OK",
-            f"X-Request-Id: {request.request_id}",
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
-            *sealed([f"X-Instance-Id: {server.instance_id}"]),
-        ]
-        await client.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
-        for number in range(first, last + 1):
-            await curio.sleep(gap_s)
-            data = event(number)
-            if number == cut_within:
-                await client.sendall(_chunk(data[: len(data) // 2]))
-                return CLOSE
-            await client.sendall(_chunk(data))
-        await client.sendall(b"0\r\n\r\n")
-        return None
-
-    return behave
-
-
-def _chunk(data):
-    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
-
-
-async def cut_unless_resumed(server, request, client):
-    """Break a stream off within its third event, or continue one."""
-    last_id = request.headers.get("last-event-id")
-    if last_id is None:
-        return await stream(1, 5, cut_within=3)(server, request, client)
-    return await stream(int(last_id) + 1, 5)(server, request, client)
-
-
-BEHAVIOURS = {
-    "answer": answer_whole,
-    "decline": decline,
-    "fail": fail,
-    "lose": lose_answer,
-    "stream": stream(1, 5, gap_s=0.05),
-    "slow": stream(1, 5, gap_s=0.4),
-    "cut": cut_unless_resumed,
-}
-
-
 def main():
     """Run the stand-in as a process."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--host", default="127.0.0.1", help="IP number to listen on")
     parser.add_argument("--port", type=int, default=0, help="TCP port; 0 chooses one")
     parser.add_argument("--instance-id", default="i-1", help="id of this start")
+    parser.add_argument(
+        "--steady", action="store_true", help="serve as a service under load does"
+    )
     options = parser.parse_args()
+    default = SteadyService(options.instance_id) if options.steady else answer_whole
 
     async def serve():
-        server = PlatformServerStandin(options.instance_id, options.host, options.port)
+        server = PlatformServerStandin(
+            options.instance_id, options.host, options.port, default
+        )
         print(f"listening {server.host}:{server.port}", flush=True)
         await server.run()
 
--- /dev/null
+++ b/standins/platform_service.py
@@ -0,0 +1,246 @@
+"""A service under steady load, as a stand-in server serves it, and what it ran.
+
+Paths that begin with ``/stream/`` are answered by a stream of `EVENT_COUNT` events,
+which goes on behind ``Last-Event-Id``; others by one line that names the request.
+"""
+
+import random
+import time
+
+import curio
+from curio import socket
+
+from standins.platform_behaviours import (
+    answer_bytes,
+    answer_nonsense,
+    CLOSE,
+    event,
+    sealed,
+)
+
+SLOT_COUNT = 6
+WORK_S = 0.04
+EVENT_COUNT = 8
+EVENT_GAP_S = 0.03
+STREAM_PATH = "/stream/"
+
+
+def expected_body(request_id, path):
+    """Return the body of a whole answer to a request."""
+    if path.startswith(STREAM_PATH):
+        return b"".join(event(number) for number in range(1, EVENT_COUNT + 1))
+    return f"{request_id} {path}\n".encode()
+
+
+class Run:
+    """What a server did with a request.
+
+    Parameters
+    ----------
+    request_id, path, account : str
+        The request, and the account that the gateway named.
+    arrived_s : float
+        Monotonic time of its arrival; all processes of a host share that clock.
+
+    Attributes
+    ----------
+    ran : bool
+        Whether the server worked on it.
+    ended_s : float or None
+        When it stopped working.
+    answered : bool
+        Whether it sent a whole answer.
+    """
+
+    __slots__ = (
+        "account",
+        "answered",
+        "arrived_s",
+        "ended_s",
+        "path",
+        "ran",
+        "request_id",
+    )
+
+    def __init__(self, request_id, path, account, arrived_s):
+        self.request_id = request_id
+        self.path = path
+        self.account = account
+        self.arrived_s = arrived_s
+        self.ran = False
+        self.ended_s = None
+        self.answered = False
+
+    def as_json(self):
+        """Return it as a JSON value."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class SteadyService:
+    """Behaviour of a server: limited slots, time for work, drawn faults.
+
+    Parameters
+    ----------
+    instance_id : str
+        Requests for another instance are declined.
+
+    Attributes
+    ----------
+    runs : list of Run
+        Every request that arrived.
+    """
+
+    __slots__ = ("_instance_id", "_random", "_running", "_shares", "runs")
+
+    def __init__(self, instance_id):
+        self._instance_id = instance_id
+        self._random = random.Random(0)
+        self._shares = {}
+        self._running = 0
+        self.runs = []
+
+    def set_faults(self, shares, seed):
+        """Let a share of the requests meet each fault of `_FAULTS`."""
+        unknown = set(shares) - set(_FAULTS)
+        if unknown:
+            raise ValueError(f"unknown faults: {', '.join(sorted(unknown))}")
+        self._shares = shares
+        self._random = random.Random(seed)
+
+    def as_json(self):
+        """Return every run as a JSON value."""
+        return {"runs": [run.as_json() for run in self.runs]}
+
+    async def __call__(self, server, request, client):
+        """Serve one request."""
+        path = request.line.split()[1]
+        run = Run(
+            request.request_id,
+            path,
+            request.headers.get("x-tenant", ""),
+            time.monotonic(),
+        )
+        self.runs.append(run)
+        if request.headers.get("x-expect-instance", self._instance_id) != (
+            self._instance_id
+        ):
+            return await self._decline(request, client, "421 Misdirected Request")
+        if self._running >= SLOT_COUNT:
+            return await self._decline(request, client, "503 Service Unavailable")
+        self._running += 1
+        run.ran = True
+        try:
+            return await self._serve(run, request, client)
+        finally:
+            run.ended_s = time.monotonic()
+            self._running -= 1
+
+    async def _decline(self, request, client, status):
+        headers = ["X-Not-Executed: 1", self._load_header()]
+        await client.sendall(
+            answer_bytes(request.request_id, status, b"", headers),
+        )
+
+    async def _serve(self, run, request, client):
+        fault = self._draw_fault()
+        if run.path.startswith(STREAM_PATH):
+            return await self._stream(run, request, client, fault)
+        if await _left_within(client, WORK_S):
+            return CLOSE
+        body = expected_body(request.request_id, run.path)
+        headers = sealed([self._load_header()])
+        answer = answer_bytes(request.request_id, body=body, headers=headers)
+        if fault is not None:
+            return await _FAULTS[fault](answer, request, client)
+        await client.sendall(answer)
+        run.answered = True
+        return None
+
+    async def _stream(self, run, request, client, fault):
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        head = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {request.request_id}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+            *sealed([f"X-Instance-Id: {self._instance_id}"]),
+        ]
+        await client.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
+        broken_at = None
+        if fault is not None:
+            broken_at = self._random.randint(first, EVENT_COUNT)
+        for number in range(first, EVENT_COUNT + 1):
+            if await _left_within(client, EVENT_GAP_S):
+                return CLOSE
+            data = event(number)
+            if number == broken_at:
+                await client.sendall(f"{len(data):x}\r\n".encode() + data[:5])
+                return CLOSE
+            await client.sendall(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        await client.sendall(b"0\r\n\r\n")
+        run.answered = True
+        return None
+
+    def _draw_fault(self):
+        drawn = self._random.random()
+        for name, share in self._shares.items():
+            if drawn < share:
+                return name
+            drawn -= share
+        return None
+
+    def _load_header(self):
+        return f"X-Server-Load: {self._running},0,{SLOT_COUNT}"
+
+
+async def _left_within(client, wait_s):
+    """Wait; return at once with True if the caller closes its connection."""
+    peeked = await curio.ignore_after(wait_s, client.recv, 1, socket.MSG_PEEK)
+    return peeked == b""
+
+
+async def _lose(answer, request, client):
+    return CLOSE
+
+
+async def _cut(answer, request, client):
+    await client.sendall(answer[:-2])
+    return CLOSE
+
+
+async def _send_twice(answer, request, client):
+    await client.sendall(answer + answer)
+
+
+async def _send_another_first(answer, request, client):
+    other = answer_bytes("another-request", body=b"not yours\n", headers=sealed())
+    await client.sendall(other + answer)
+
+
+async def _send_nonsense(answer, request, client):
+    await answer_nonsense(None, request, client)
+
+
+async def _hang(answer, request, client):
+    while await client.recv(1):
+        pass
+    return CLOSE
+
+
+async def _fail(answer, request, client):
+    await client.sendall(
+        answer_bytes(
+            request.request_id, "500 Internal Server Error", b"sorry\n", sealed()
+        )
+    )
+
+
+_FAULTS = {
+    "lose": _lose,
+    "cut": _cut,
+    "twice": _send_twice,
+    "another": _send_another_first,
+    "nonsense": _send_nonsense,
+    "hang": _hang,
+    "fail": _fail,
+}
