Leave the choice among targets that can't be told apart to chance

Ruled out: slow passes (240 of 3,850 streams had a long pause), loads that were not heard (every entry knew all 38 others).

Change: the least loaded targets whose number is that of the requests that peers have begun unseen (own rate, peers, half the time between news) count as alike, as do groups that differ by less; one of them is drawn. A full one or one of a busier group never replaces the best. In a large fleet the peers of the own failure domain tell ten times a second, the others once a second instead of twice, and targets of the own domain go first unless they are fuller by two slots of five.

The new tests of the choice fail without it.

--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -167,6 +167,14 @@
         "further ones are refused. One that waits is late, and delays the next; with "
         "0.5 loaded days earned 0.02 of what is owed less than with none.",
     )
+    away_load = Item(
+        float,
+        default=0.4,
+        minimum=0.0,
+        description="By how much a target of another failure domain must be less "
+        "loaded to be chosen, in parts of its slots, where only the entries of the own "
+        "one tell of their requests soon. Two slots of five.",
+    )
     retry_after_s = Item(
         float,
         default=1.8,
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -4,7 +4,15 @@
 
 
 class TargetChoice:
-    """Chooses the least loaded target.
+    """Chooses one of the least loaded targets.
+
+    Notes
+    -----
+    What peers have begun since their last news can't be seen.  With 39 entries that was
+    25 requests, and all entries sent theirs to the few targets that had looked idle:
+    a fourth of the streams waited behind full slots while two fifths of all slots were
+    free.  So loads that differ by less than what is unseen count as alike, and the
+    choice among as many targets as requests are unseen is left to chance.
 
     Parameters
     ----------
@@ -75,9 +83,7 @@
         ]
         # If all of them fail, one of them is still a better try than none.
         group_loads = self._group_loads(serving)
-        chosen = min(
-            apart or trusted or fresh, key=lambda entry: self._rank(entry, group_loads)
-        )
+        chosen = self._choose_alike(apart or trusted or fresh, group_loads)
         if self._load(chosen) >= 1 + self._settings.waiting_per_slot:
             message = (
                 f"Each of {len(serving)} targets has as many requests as it can serve "
@@ -110,19 +116,47 @@
         return not self._health.is_group_passed_over(self.group_of(entry.instance_id))
 
     def _group_loads(self, serving):
-        """Return the mean load of the targets of each group."""
+        """Return the mean load of the targets of each group.
+
+        Those that exceed the least one by less than what is unseen are taken for it.
+        """
         loads = {}
+        slots = {}
         for entry in serving:
             group = self.group_of(entry.instance_id)
             if group is not None:
                 loads.setdefault(group, []).append(self._load(entry))
-        return {group: sum(one) / len(one) for group, one in loads.items()}
+                slots[group] = slots.get(group, 0) + entry.slot_count
+        means = {group: sum(one) / len(one) for group, one in loads.items()}
+        least = min(means.values(), default=0.0)
+        unseen_count = self._loads.unseen_count()
+        return {
+            group: least if mean <= least + unseen_count / slots[group] else mean
+            for group, mean in means.items()
+        }
+
+    def _choose_alike(self, entries, group_loads):
+        """Return one of the best targets that this entry can't tell apart."""
+        ranks = {entry: self._rank(entry, group_loads) for entry in entries}
+        ordered = sorted(entries, key=ranks.get)
+        best = ranks[ordered[0]]
+        alike = [
+            entry
+            for entry in ordered[: 1 + round(self._loads.unseen_count())]
+            # Never a full one, or one of a busier group, instead of the best.
+            if ranks[entry][:2] == best[:2]
+        ]
+        return self._random.choice(alike)
 
     def _rank(self, entry, group_loads):
         is_away = entry.failure_domain != self._failure_domain
         load = self._load(entry)
-        group_load = group_loads.get(self.group_of(entry.instance_id), load)
-        return load >= 1, group_load, load, is_away, self._random.random()
+        is_full = load >= 1
+        group_load = group_loads.get(self.group_of(entry.instance_id), 0.0)
+        if is_away and self._loads.are_peers_crowded():
+            # Its load is older news, and its bytes cross between failure domains.
+            load += self._settings.away_load
+        return is_full, group_load, load, is_away, self._random.random()
 
     def _load(self, entry):
         """Return the requests of a target for each of its slots."""
--- a/siskinthread/gateway/_target_loads.py
+++ b/siskinthread/gateway/_target_loads.py
@@ -1,7 +1,13 @@
 """How many requests each target has, as far as this entry knows."""
 
+from collections import deque
+
 from siskinthread.timing import Deadline
 
+# Span over which this entry's own rate of requests is taken. Some three requests a
+# second come to each entry; a rate from fewer than six would jump.
+RATE_SPAN_S = 2.0
+
 
 class _Reported:
     """Load that a target stated, and until when it counts."""
@@ -35,18 +41,22 @@
     belongs to other entries.
     """
 
-    __slots__ = ("_clock", "_own", "_reported", "_settings", "peers")
+    __slots__ = ("_clock", "_own", "_reported", "_settings", "_starts_s", "peers")
 
     def __init__(self, settings, clock):
         self._settings = settings
         self._clock = clock
         self._own = {}
         self._reported = {}
+        # When own requests began, monotonic seconds, oldest first.
+        self._starts_s = deque()
         self.peers = None
 
     def started(self, instance_id):
         """Count a request as sent to a target."""
         self._own[instance_id] = self._own.get(instance_id, 0) + 1
+        self._starts_s.append(self._clock.monotonic_s())
+        self._drop_old_starts()
 
     def ended(self, instance_id):
         """Count a request as over."""
@@ -80,12 +90,34 @@
             return own
         return own + reported.others
 
+    def unseen_count(self):
+        """Return how many requests peers have begun that this entry can't know of yet.
+
+        Reckoned from its own rate, as callers are spread over all entries, and from
+        the mean age of what peers have told.
+        """
+        if self.peers is None or not self.peers.has_fresh_loads():
+            return 0.0
+        self._drop_old_starts()
+        own_rate = len(self._starts_s) / RATE_SPAN_S
+        mean_age_s = self.peers.told_interval_s() / 2
+        return own_rate * self.peers.sharing_count() * mean_age_s
+
+    def are_peers_crowded(self):
+        """Return whether only near peers tell of their requests soon."""
+        return self.peers is not None and self.peers.is_crowded()
+
     def source(self):
         """Return what others' requests are known by, for the log."""
         if self.peers is not None and self.peers.has_fresh_loads():
             return "peers"
         return "the targets' own reports"
 
+    def _drop_old_starts(self):
+        oldest_s = self._clock.monotonic_s() - RATE_SPAN_S
+        while self._starts_s and self._starts_s[0] < oldest_s:
+            self._starts_s.popleft()
+
     def forget(self, instance_id):
         """Drop what is known of a target that is gone."""
         self._reported.pop(instance_id, None)
--- a/siskinthread/gateway/tests/test_target_choice.py
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -15,6 +15,45 @@
 from siskinthread.timing import Deadline
 
 
+class FakePeers:
+    """Peers of whose latest requests nothing is known.
+
+    Parameters
+    ----------
+    count : int
+        How many peers share their loads.
+    counts : dict of str to int
+        Their requests by target.
+    crowded : bool
+        Whether only those of the own failure domain do.
+    """
+
+    def __init__(self, count, counts=(), crowded=False):
+        self._count = count
+        self._counts = dict(counts)
+        self._crowded = crowded
+
+    def has_fresh_loads(self):
+        """Tell that their loads count."""
+        return True
+
+    def counts(self, instance_id):
+        """Return their requests at a target."""
+        return self._counts.get(instance_id, 0)
+
+    def sharing_count(self):
+        """Return how many share their loads."""
+        return self._count
+
+    def told_interval_s(self):
+        """Return the time between two news of a peer."""
+        return 0.5
+
+    def is_crowded(self):
+        """Return whether only near peers share their loads soon."""
+        return self._crowded
+
+
 class Parts:
     """A choice with its parts."""
 
@@ -124,3 +163,61 @@
     request = parts.request()
     times = {round(parts.choice.come_back_after_s(request), 2) for _ in range(50)}
     assert len(times) > 20
+
+
+def test_entries_do_not_all_choose_the_target_that_looked_idle():
+    """Symptom: streams wait behind full slots while many targets have free ones.
+
+    Events: 39 entries hear of loads every half second, and see the same few idle
+    targets.  Cause: each of them sent to the least loaded one until the next news.
+    """
+    loaded = {f"i-{number}": 1 + number % 2 for number in range(20)}
+    chosen = set()
+    for seed in range(40):
+        parts = Parts(*(entry(one, slots=5) for one in [*loaded, "i-idle"]))
+        parts.loads.peers = FakePeers(38, loaded)
+        parts.choice._random = random.Random(seed)
+        for _ in range(6):
+            # Requests that began and ended here show the rate at which peers begin.
+            parts.loads.started("i-0")
+            parts.loads.ended("i-0")
+        chosen.add(parts.choose())
+    assert len(chosen) > 15
+
+
+def test_full_target_is_not_chosen_by_chance():
+    """What can't be told apart from the best does not include full targets."""
+    for seed in range(20):
+        parts = Parts(entry("i-full", slots=5), entry("i-free", slots=5))
+        parts.loads.peers = FakePeers(38, {"i-full": 5})
+        parts.choice._random = random.Random(seed)
+        for _ in range(6):
+            parts.loads.started("i-free")
+            parts.loads.ended("i-free")
+        assert parts.choose() == "i-free"
+
+
+def test_group_that_is_busier_by_less_than_is_unseen_counts_as_alike():
+    """Symptom: all entries send to one group, then all to the other."""
+    chosen = set()
+    for seed in range(20):
+        parts = Parts(entry("a-1", slots=5), entry("b-1", slots=5))
+        parts.choice.group_of = lambda instance_id: instance_id[0]
+        parts.loads.peers = FakePeers(38, {"a-1": 1})
+        parts.choice._random = random.Random(seed)
+        for _ in range(6):
+            parts.loads.started("b-1")
+            parts.loads.ended("b-1")
+        chosen.add(parts.choose())
+    assert chosen == {"a-1", "b-1"}
+
+
+@pytest.mark.parametrize(("near_load", "expected"), [(2, "i-near"), (4, "i-away")])
+def test_near_target_goes_first_among_many_entries(near_load, expected):
+    """One of another failure domain is chosen if it is idler by two slots of five."""
+    parts = Parts(
+        entry("i-near", slots=5), entry("i-away", slots=5, domain="elsewhere")
+    )
+    loads = {"i-near": near_load, "i-away": 1}
+    parts.loads.peers = FakePeers(9, loads, crowded=True)
+    assert parts.choose() == expected
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -98,10 +98,26 @@
         With so many peers that each is heard of less often than its loads count, they
         are a part only.
         """
-        if self._told_interval_s() > self._settings.fresh_limit_s:
+        if self.told_interval_s() > self._settings.fresh_limit_s:
             return False
         return any(True for _ in self._fresh_news())
 
+    def is_crowded(self):
+        """Return whether there are so many peers that only the near ones tell soon."""
+        return len(self._peers) > self._settings.peers_at_full_rate
+
+    def sharing_count(self):
+        """Return the number of peers whose loads come soon."""
+        if self.is_crowded():
+            return len(self._domain_news())
+        return len(self._peers)
+
+    def told_interval_s(self):
+        """Return the time between two news of a near peer whose loads change."""
+        settings = self._settings
+        crowd = max(1.0, self.sharing_count() / settings.peers_at_full_rate)
+        return settings.interval_s * crowd
+
     def newest_version(self):
         """Return the highest configuration version that a peer has told of."""
         versions = [news.state.table_version for news in self._fresh_news()]
@@ -169,7 +185,7 @@
             peer = self._add(news.sender)
         peer.news = news
         peer.loads_fresh = Deadline.after(self._clock, settings.fresh_limit_s)
-        told_s = settings.quiet_interval_s + self._told_interval_s()
+        told_s = settings.quiet_interval_s + self.told_interval_s()
         peer.fresh = Deadline.after(self._clock, max(settings.fresh_limit_s, told_s))
         peer.known = Deadline.after(self._clock, settings.forget_after_s)
         for address in news.peers:
@@ -190,23 +206,21 @@
         while True:
             self._forget_silent()
             await self._send_if_due()
-            await curio.sleep(self._told_interval_s())
-
-    def _told_interval_s(self):
-        """Return the time between two news of a process whose loads change."""
-        settings = self._settings
-        crowd = max(1.0, len(self._peers) / settings.peers_at_full_rate)
-        return settings.interval_s * crowd
+            await curio.sleep(self.told_interval_s())
 
     async def _send_if_due(self):
         state = self.describe()
-        if state.looks_like(self._last_sent) and not self._quiet_deadline.passed():
+        is_quiet_due = self._quiet_deadline.passed()
+        if state.looks_like(self._last_sent) and not is_quiet_due:
             return
         self._last_sent = state
-        self._quiet_deadline = Deadline.after(
-            self._clock, self._settings.quiet_interval_s
-        )
-        await self._send_to({*self._peers, *self._first_peers})
+        if is_quiet_due:
+            wait_s = self._settings.quiet_interval_s
+            self._quiet_deadline = Deadline.after(self._clock, wait_s)
+        if is_quiet_due or not self.is_crowded():
+            await self._send_to({*self._peers, *self._first_peers})
+        else:
+            await self.tell_domain()
 
     async def _send_to(self, addresses):
         state = self.describe()
--- a/siskinthread/peer_news/_settings.py
+++ b/siskinthread/peer_news/_settings.py
@@ -11,8 +11,10 @@
         default=0.1,
         minimum=0.01,
         description="Time between two news of a process whose loads change, with up to "
-        "`peers_at_full_rate` peers; longer in proportion with more. A tenth of the "
-        "shortest goal of an answer is a quarter of this.",
+        "`peers_at_full_rate` peers. With more, it tells those of its failure domain "
+        "at this rate, or less often in proportion to their number, and the others "
+        "at the quiet rate. A tenth of the shortest goal of an answer is a quarter "
+        "of this.",
     )
     peers_at_full_rate = Item(
         int,
@@ -25,7 +27,8 @@
         float,
         default=1.0,
         minimum=0.05,
-        description="Time between two news of a process whose loads don't change.",
+        description="Time between two news of a process whose loads don't change, and "
+        "to peers of other failure domains where there are many.",
     )
     fresh_limit_s = Item(
         float,
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -156,3 +156,35 @@
     assert not news.has_fresh_loads()
     clock.advance(SETTINGS.fresh_limit_s + 0.01)
     assert news.newest_version() == 4
+
+
+class NotingSocket:
+    """A socket that notes to whom datagrams go."""
+
+    def __init__(self):
+        self.hosts = []
+
+    async def sendto(self, data, address):
+        """Note a datagram."""
+        self.hosts.append(address[0])
+
+
+def test_large_fleet_tells_its_own_domain_soon_and_others_at_the_quiet_rate():
+    """Symptom: half of the bytes between failure domains are news."""
+    others = [f"10.0.1.{number}" for number in range(SETTINGS.peers_at_full_rate + 2)]
+    near = others[:2]
+
+    async def main():
+        news = build(Address("10.0.0.1", 1), [], HostState(1, True, {}))
+        for host in others:
+            domain = "a" if host in near else "b"
+            news._take(News(Address(host, 1), domain, HostState(1, True, {}), []))
+        sent = []
+        for count in (1, 2):
+            news.describe = lambda count=count: HostState(1, True, {"i-1": count})
+            news._socket = NotingSocket()
+            await news._send_if_due()
+            sent.append(sorted(news._socket.hosts))
+        return sent
+
+    assert curio.run(main) == [sorted(others), near]
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -106,6 +106,10 @@
     async def tell_domain(self):
         """Tell nobody."""
 
+    def is_crowded(self):
+        """Tell of few peers."""
+        return False
+
     def has_fresh_loads(self):
         """Tell of no loads."""
         return False
