--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.installed
 
-.PHONY: test demo gateway experts outage explore faults capacity shares pages format generate clean
+.PHONY: test demo gateway experts outage explore faults soak soak-failed capacity shares pages format generate clean
 
 $(READY): requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +34,15 @@
 faults: $(READY)
 	$(BIN)/python scripts/demo_failures.py
 
+# Random faults on gateways and stand-ins of the platform; 25 s a seed.
+SEED ?= 1
+soak: $(READY)
+	$(BIN)/python -m scripts.soak --seeds $(SEED)
+
+# The seeds that ever broke a promise.
+soak-failed: $(READY)
+	$(BIN)/python -m scripts.soak --failed
+
 # The figures that docs/CAPACITY.md uses; several minutes.
 capacity: $(READY)
 	$(BIN)/siskinthread measure path --json
--- a/scripts/_caller_http.py
+++ b/scripts/_caller_http.py
@@ -58,12 +58,15 @@
     ----------
     address : tuple
         IP number and TCP port of an entry.
+    host_name : str
+        What the caller takes the entry for.
     """
 
-    __slots__ = ("_address", "_protocol", "_socket")
+    __slots__ = ("_address", "_host_name", "_protocol", "_socket")
 
-    def __init__(self, address):
+    def __init__(self, address, host_name="siskinthread"):
         self._address = address
+        self._host_name = host_name
         self._socket = None
         self._protocol = None
 
@@ -128,7 +131,7 @@
                 return
 
     def _encode(self, method, target, headers, body):
-        framing = [("host", "siskinthread"), ("content-length", str(len(body)))]
+        framing = [("host", self._host_name), ("content-length", str(len(body)))]
         request = h11.Request(method=method, target=target, headers=framing + headers)
         send = self._protocol.send
         return send(request) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
--- a/scripts/_cluster.py
+++ b/scripts/_cluster.py
@@ -223,7 +223,7 @@
         process = self._processes.start(
             f"relay-{node.name}",
             [
-                *(sys.executable, "-m", "scripts._silent_proxy"),
+                *(sys.executable, "-m", "scripts._fault_proxy"),
                 *("--control-port", str(node.control_address[1])),
                 *("--to", f"{LOOPBACK}:{node.port}"),
             ],
--- /dev/null
+++ b/scripts/_fault_proxy.py
@@ -0,0 +1,190 @@
+"""TCP relays that delay, reset, cut one way or silence what they carry.
+
+Run it with ``python -m scripts._fault_proxy --to 127.0.0.1:9000``; ``--to`` may be
+given more than once.  It prints ``listening HOST:PORT`` for each relay, and on the
+control port takes, with ``relay`` as the number of one, from 0:
+
+- ``POST /silence`` with ``connections``: so many of the open ones, the oldest first,
+  carry nothing from then on, and are not closed;
+- ``POST /reset``: all open connections are reset;
+- ``POST /link`` with ``delay_ms`` and ``cut``, a list of ``"to"`` and ``"from"``: what
+  goes that way is held until the cut ends;
+- ``GET /counts``.
+"""
+
+import argparse
+import socket
+import struct
+
+import curio
+from curio.network import run_server
+
+from standins._http_server import HttpServer
+
+RECEIVE_SIZE_BYTES = 64 * 1024
+CUT_POLL_S = 0.01
+MILLISECONDS_PER_SECOND = 1000
+# Linger for no time: closing sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+TO, FROM = "to", "from"
+
+
+class RelayedConnection:
+    """One relayed connection.
+
+    Attributes
+    ----------
+    silent : bool
+        Whether it carries nothing any more.
+    ended : curio.Event
+        Set to end it.
+    """
+
+    __slots__ = ("_sockets", "ended", "silent")
+
+    def __init__(self, *sockets):
+        self._sockets = sockets
+        self.silent = False
+        self.ended = curio.Event()
+
+    async def reset(self):
+        """End it so that both sides see a reset."""
+        for one in self._sockets:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await self.ended.set()
+
+
+class Relay:
+    """Relays connections to one address.
+
+    Parameters
+    ----------
+    host, port : str, int
+        IP number and TCP port to relay to.
+
+    Attributes
+    ----------
+    delay_s : float
+        Time by which each piece is held up.
+    cut : set of str
+        Directions in which nothing passes.
+    """
+
+    __slots__ = (
+        "_connections",
+        "_host",
+        "_port",
+        "accepted",
+        "cut",
+        "delay_s",
+        "silenced",
+    )
+
+    def __init__(self, host, port):
+        self._host = host
+        self._port = port
+        self._connections = []
+        self.accepted = 0
+        self.silenced = 0
+        self.delay_s = 0.0
+        self.cut = set()
+
+    async def serve(self, client, address):
+        """Relay one connection in both directions."""
+        self.accepted += 1
+        try:
+            server = await curio.open_connection(self._host, self._port)
+        except OSError:
+            return
+        connection = RelayedConnection(client, server)
+        self._connections.append(connection)
+        try:
+            async with server, curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._pump, connection, client, server, TO)
+                await group.spawn(self._pump, connection, server, client, FROM)
+                await group.spawn(connection.ended.wait)
+        finally:
+            self._connections.remove(connection)
+
+    def silence(self, count):
+        """Let some open connections go silent, the oldest first."""
+        relaying = [one for one in self._connections if not one.silent]
+        for connection in relaying[:count]:
+            connection.silent = True
+            self.silenced += 1
+
+    async def reset_all(self):
+        """Reset every open connection."""
+        for connection in list(self._connections):
+            await connection.reset()
+
+    def counts(self):
+        """Return how many connections there are and were."""
+        return {
+            "open": len(self._connections),
+            "accepted": self.accepted,
+            "silenced": self.silenced,
+        }
+
+    async def _pump(self, connection, source, sink, direction):
+        try:
+            while True:
+                data = await source.recv(RECEIVE_SIZE_BYTES)
+                await curio.sleep(self.delay_s)
+                while direction in self.cut:
+                    await curio.sleep(CUT_POLL_S)
+                if connection.silent:
+                    # The end of the connection is not relayed either: whoever waits
+                    # on the other side must find out by itself.
+                    await curio.Event().wait()
+                if not data:
+                    return
+                await sink.sendall(data)
+        except OSError:
+            return
+
+
+async def control(relays, request, exchange):
+    """Answer one request of the control port."""
+    asked = request.json()
+    relay = relays[asked.get("relay", 0)]
+    if request.path == "/silence":
+        relay.silence(asked.get("connections", 1))
+    elif request.path == "/reset":
+        await relay.reset_all()
+    elif request.path == "/link":
+        relay.delay_s = asked.get("delay_ms", 0) / MILLISECONDS_PER_SECOND
+        relay.cut = set(asked.get("cut", ()))
+    await exchange.answer_json(200, relay.counts())
+
+
+async def _run(options):
+    relays = []
+    async with curio.TaskGroup() as group:
+        for address in options.to:
+            host, _, port = address.rpartition(":")
+            relay = Relay(host, int(port))
+            relays.append(relay)
+            listener = curio.tcp_server_socket("127.0.0.1", 0)
+            listen_host, listen_port = listener.getsockname()
+            print(f"listening {listen_host}:{listen_port}", flush=True)
+            await group.spawn(run_server, listener, relay.serve)
+
+        async def handle(request, exchange):
+            await control(relays, request, exchange)
+
+        await group.spawn(HttpServer(handle, port=options.control_port).run)
+
+
+def main():
+    """Run the relays."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--control-port", type=int, required=True, help="for control")
+    parser.add_argument(
+        "--to", action="append", required=True, help="HOST:PORT to relay to"
+    )
+    curio.run(_run, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/demo_gateway.py
+++ b/scripts/demo_gateway.py
@@ -14,30 +14,24 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from scripts._platform_files import (  # noqa: E402
+    append_path,
+    CALLER_HOST,
+    configuration,
+    listed,
+    record_bytes,
+    route,
+    settings_text,
+)
 from scripts._processes import free_ports, Processes  # noqa: E402
 from siskinthread.tracing import find_request  # noqa: E402
 
-HOST = "drafts.example"
 KEY = "demo-key"
 SERVERS = ("i-1", "i-2")
 START_WAIT_S = 10.0
 POLL_INTERVAL_S = 0.05
 # The log thread writes at once; this is for a busy machine.
 LOG_WAIT_S = 0.5
-SETTINGS = """
-node = "entry-1"
-zone = "a"
-ip = "127.0.0.1"
-internal_ports = [{peer}, {peer}]
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[bounds]
-grace_s = 3
-[platform]
-address = "{store}"
-parts = 8
-"""
 # Path and behaviour of the servers by name of the request, in the order of asking.  A
 # decline states a full server, so that the request after it is refused at once.
 FAULTS = {
@@ -64,39 +58,14 @@
 REPORT_WAIT_S = 1.2
 
 
-def route(prefix, kind, **fields):
-    """Return a route as operators publish it."""
-    values = {
-        "name": prefix.strip("/"),
-        "host": HOST,
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 5000,
-        "target_latency_ms": 400,
-        "target_gap_ms": 120,
-        "priority": 1,
-        "service": "drafts",
-        "attempts": 2,
-        "public": False,
-    }
-    return values | fields
-
-
-CONFIGURATION = {
-    "version": 1,
-    "routes": [
+CONFIGURATION = configuration(
+    1,
+    [
         route("/stream/", "streaming", resumable=True),
         route("/alert/", "unsafe", attempts=1),
     ],
-    "services": [{"name": "drafts", "health_path": "/health", "max_conns": 100}],
-    "limits": {
-        "max_header_bytes": 16384,
-        "max_body_bytes": 65536,
-        "header_timeout_ms": 3000,
-        "idle_timeout_ms": 15000,
-    },
-    "tenants": [{"name": "inspectorate", "api_keys": [KEY]}],
-}
+    {"inspectorate": [KEY]},
+)
 
 
 def call(address, method, path, body=b"", headers=None):
@@ -112,16 +81,13 @@
 
 def publish(store, topic, key, value):
     """Write the newest record of a key to the store."""
-    content = bytes([len(key)]) + key.encode() + json.dumps(value).encode()
-    record = len(content).to_bytes(4, "big") + content
-    path = f"/siskinthread/log-append?topic={topic}&part=0"
-    call(store, "POST", path, record)
+    call(store, "POST", append_path(topic), record_bytes(key, value))
 
 
 def ask(gateway, request_id, path):
     """Send a caller's request; return its status."""
     headers = {
-        "Host": HOST,
+        "Host": CALLER_HOST,
         "X-Request-Id": request_id,
         "X-Deadline-Ms": "4000",
         "Authorization": f"Token {KEY}",
@@ -145,25 +111,11 @@
     store_address = store.read_address()
     server_addresses = [server.read_address() for server in servers]
     publish(store_address, "keyed.op", "config", CONFIGURATION)
-    for name, (host, port) in zip(SERVERS, server_addresses, strict=True):
-        entry = {
-            "service": "drafts",
-            "address": f"{host}:{port}",
-            "zone": "a",
-            "slots": 6,
-            "state": "ready",
-        }
-        publish(store_address, "keyed.servers", name, entry)
+    for name, address in zip(SERVERS, server_addresses, strict=True):
+        publish(store_address, "keyed.servers", name, listed(address))
     front, ready, peer = free_ports(3)
     settings = folder / "settings.toml"
-    settings.write_text(
-        SETTINGS.format(
-            front=front,
-            ready=ready,
-            peer=peer,
-            store=f"{store_address[0]}:{store_address[1]}",
-        )
-    )
+    settings.write_text(settings_text("entry-1", (front, ready, peer), store_address))
     os.environ["SISKINTHREAD_BOOT"] = str(settings)
     gateway = processes.start(
         "gateway", [sys.executable, "-m", "siskinthread.platform"]
--- /dev/null
+++ b/scripts/soak/__main__.py
@@ -0,0 +1,159 @@
+"""Run seeds of the soak.
+
+``make soak SEED=7`` runs one; ``--seeds 1-50`` runs a range, ``--failed`` those that
+ever failed.  One line of JSON a seed; the exit status is 0 if every promise held.
+"""
+
+import argparse
+import json
+import shutil
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import curio
+
+from scripts._processes import Interrupted, interruptible, Processes, StartError
+from scripts._progress import Progress
+from scripts.soak._callers import Balancer, Caller, Prober
+from scripts.soak._faults import Faults
+from scripts.soak._plan import draw_plan
+from scripts.soak._promises import broken_promises
+from scripts.soak._records import Records
+from scripts.soak._system import SoakSystem
+
+FAILED_SEEDS = Path(__file__).with_name("failed_seeds.txt")
+# The time in which all must serve again once everything is back.
+RECOVERY_S = 6.0
+JUDGED_END_S = 2.0
+CALLERS_PER_GATEWAY = 5
+# Twice what a gateway needs at its peak, 22 MB.
+MEMORY_LIMIT_KB = 44_000
+# More than there are callers, so that no two seeds share the draws of one.
+MANY_CALLERS = 10_000
+BROKEN_SHOWN = 12
+
+
+async def run_seed(processes, folder, options, seed):
+    """Run a system through the faults of a seed; return records and broken promises."""
+    records = Records()
+    system = SoakSystem(processes, folder, records, options.gateways, options.servers)
+    await system.start()
+    plan = draw_plan(seed, options.seconds, options.gateways, options.servers)
+    started_s = time.monotonic()
+    recovered_s = started_s + options.seconds + RECOVERY_S
+    ends_s = recovered_s + JUDGED_END_S
+    balancer = Balancer(system)
+    background = [
+        await curio.spawn(balancer.keep_checking, daemon=True),
+        await curio.spawn(system.keep_reporting, daemon=True),
+    ]
+    async with curio.TaskGroup(wait=all) as group:
+        await group.spawn(Faults(system).run, plan, started_s)
+        for gateway in system.gateways:
+            await group.spawn(Prober(gateway, records).run, ends_s)
+        for number in range(CALLERS_PER_GATEWAY * options.gateways):
+            caller = Caller(balancer, records, seed * MANY_CALLERS + number)
+            await group.spawn(caller.run, ends_s)
+    for task in background:
+        await task.cancel()
+    for server in system.servers:
+        await system.note_runs(server)
+    _check_processes(system, records)
+    return records, broken_promises(records, recovered_s)
+
+
+def _check_processes(system, records):
+    """Note gateways that ended by themselves, took much memory or met a defect."""
+    for gateway in system.gateways:
+        if not gateway.process.running():
+            status = gateway.process.exit_status
+            records.troubles.append(f"{gateway.name} ended by itself, status {status}")
+            continue
+        peak_kb = _peak_memory_kb(gateway.process.pid)
+        if peak_kb > MEMORY_LIMIT_KB:
+            records.troubles.append(f"{gateway.name} took {peak_kb} KB")
+        if "Traceback" in gateway.process.log_path.read_text(errors="replace"):
+            records.troubles.append(f"{gateway.name} logged a traceback")
+
+
+def _peak_memory_kb(pid):
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1])
+    return 0
+
+
+def _run_once(seed, options, progress):
+    """Run one seed and return whether every promise held."""
+    folder = Path(tempfile.mkdtemp(prefix=f"siskinthread-soak-{seed}-"))
+    with Processes(folder) as processes:
+        records, broken = curio.run(run_seed, processes, folder, options, seed)
+    served = sum(call.is_served for call in records.calls)
+    line = {
+        "seed": seed,
+        "calls": len(records.calls),
+        "served": served,
+        "faults": len(records.faults),
+        "broken": len(broken),
+    }
+    print(json.dumps(line), flush=True)
+    if not broken:
+        shutil.rmtree(folder)
+        return True
+    for text in records.faults + broken[:BROKEN_SHOWN]:
+        progress.say(text)
+    progress.say(f"logs and settings are kept in {folder}")
+    return False
+
+
+def _seeds(options):
+    if options.failed:
+        lines = FAILED_SEEDS.read_text().splitlines()
+        return [int(line.split(":")[0]) for line in lines if line[:1].isdigit()]
+    if options.seeds:
+        first, _, last = options.seeds.partition("-")
+        return range(int(first), int(last or first) + 1)
+    return [options.seed]
+
+
+def _read_options(arguments):
+    parser = argparse.ArgumentParser(
+        prog="soak", description="Randomized failure runs; see scripts/soak."
+    )
+    parser.add_argument("--seed", type=int, default=1, help="the one seed to run")
+    parser.add_argument("--seeds", help="a range of seeds, as 1-50")
+    parser.add_argument(
+        "--failed", action="store_true", help="run the seeds that ever failed"
+    )
+    parser.add_argument(
+        "--seconds", type=float, default=12.0, help="time in which faults begin"
+    )
+    parser.add_argument("--gateways", type=int, default=3, help="number of gateways")
+    parser.add_argument("--servers", type=int, default=4, help="number of servers")
+    return parser.parse_args(arguments)
+
+
+def main(arguments):
+    """Run the seeds; return the exit status."""
+    options = _read_options(arguments)
+    progress = Progress()
+    failed = []
+    try:
+        with interruptible():
+            for seed in _seeds(options):
+                if not _run_once(seed, options, progress):
+                    failed.append(seed)
+    except Interrupted as interruption:
+        progress.say(f"ended by {interruption}")
+        return 130
+    except StartError as error:
+        progress.say(f"could not run: {error}")
+        return 2
+    progress.say(f"seeds that broke a promise: {failed or 'none'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/scripts/soak/_faults.py
@@ -0,0 +1,235 @@
+"""Carrying out the faults of a plan."""
+
+import random
+import signal
+import time
+from functools import partial
+
+import curio
+
+from scripts.soak._plan import FAULT_KINDS, GATEWAY, SERVER, STORE
+from scripts.soak._system import GRACE_S, LAPSE_S, link, SERVE_ON_S, TARGETS_TOPIC
+
+POLL_S = 0.02
+MANY = 1000
+STOP_WAIT_S = GRACE_S + 0.2
+CALLERS_RELAY, STORE_RELAY = 0, 1
+DIRECTIONS = (["to"], ["from"], ["to", "from"])
+STORM_COUNT = 5
+STORM_GAP_S = 0.15
+SPOILT_SHARE = 0.08
+SPOILT_WAYS = ("lose", "cut", "twice", "another", "nonsense", "hang", "fail")
+
+
+class Faults:
+    """Carries out faults, each in a task of its own.
+
+    Parameters
+    ----------
+    system : SoakSystem
+        What they are done to.
+    """
+
+    __slots__ = ("_records", "_settings_number", "_store_modes", "_system")
+
+    def __init__(self, system):
+        self._system = system
+        self._records = system.records
+        self._settings_number = 0
+        # Faults of the store that last at present, the newest last.
+        self._store_modes = []
+
+    async def run(self, plan, started_s):
+        """Carry out a plan; return when every fault of it has ended."""
+        async with curio.TaskGroup(wait=all) as group:
+            for fault in plan:
+                await curio.sleep(max(0.0, started_s + fault.at_s - time.monotonic()))
+                await group.spawn(self._carry_out, fault)
+
+    async def _carry_out(self, fault):
+        part, _ = FAULT_KINDS[fault.kind]
+        subject = self._subject(part, fault.subject)
+        self._records.faults.append(str(fault))
+        carry_out = _WAYS[fault.kind]
+        if part not in (GATEWAY, SERVER, STORE):
+            await carry_out(self, subject, fault)
+            return
+        name = (part, subject.name if subject is not None else part)
+        # A planned stop must cut nothing off; it counts by itself.
+        kind = "stop" if fault.kind == "stop gateway" else name[0]
+        span = self._records.disruptions.begin((kind, name[1]), time.monotonic())
+        try:
+            await carry_out(self, subject, fault)
+        finally:
+            self._records.disruptions.end(span, time.monotonic())
+
+    def _subject(self, part, number):
+        if part == GATEWAY:
+            return self._system.gateways[number]
+        if part == SERVER:
+            return self._system.servers[number]
+        return None
+
+    async def freeze(self, node, fault):
+        """Stop a process and let it go on later."""
+        if not node.process.running():
+            return
+        node.process.freeze()
+        await curio.sleep(fault.for_s)
+        node.process.thaw()
+
+    async def kill_gateway(self, gateway, fault):
+        """Kill a gateway, and start it again later."""
+        await self._restart_gateway(gateway, signal.SIGKILL, fault.for_s)
+
+    async def stop_gateway(self, gateway, fault):
+        """Stop a gateway as planned, kill it when its time is up, start it again."""
+        await self._restart_gateway(gateway, signal.SIGTERM, fault.for_s)
+
+    async def _restart_gateway(self, gateway, number, pause_s):
+        process = gateway.process
+        if not process.running():
+            return
+        process.send_signal(number)
+        began_s = time.monotonic()
+        while process.running():
+            now_s = time.monotonic()
+            if now_s > began_s + STOP_WAIT_S:
+                subject = (GATEWAY, gateway.name)
+                if self._records.disruptions.is_untouched(subject, began_s, now_s):
+                    self._records.troubles.append(f"{gateway.name} had to be killed")
+                process.kill()
+            await curio.sleep(POLL_S)
+        await curio.sleep(pause_s)
+        if gateway.process is process:
+            self._system.start_gateway(gateway)
+            await self._system.until_ready(gateway)
+
+    async def reload_gateway(self, gateway, fault):
+        """Change a gateway's settings file and tell it so, or not."""
+        text = gateway.settings_path.read_text()
+        self._settings_number += 1
+        text += f"\n# change {self._settings_number}\n"
+        gateway.settings_path.write_text(text)
+        if fault.seed % 2 and gateway.process.running():
+            gateway.process.send_signal(signal.SIGHUP)
+
+    async def delay(self, node, fault, relay=0):
+        """Hold up what a link carries."""
+        delay_ms = random.Random(fault.seed).randint(20, 300)
+        await self._hurt_link(node, relay, fault.for_s, delay_ms=delay_ms)
+
+    async def cut(self, node, fault, relay=0):
+        """Let nothing pass over a link, one way or both."""
+        ways = random.Random(fault.seed).choice(DIRECTIONS)
+        await self._hurt_link(node, relay, fault.for_s, cut=ways)
+
+    async def reset(self, node, fault, relay=0):
+        """Reset all connections of a link."""
+        await link(node, "/reset", relay)
+
+    async def silence(self, node, fault, relay=0):
+        """Let all connections of a link go silent for good."""
+        await link(node, "/silence", relay, connections=MANY)
+
+    async def kill_server(self, server, fault):
+        """Kill a server; a new one comes at its address."""
+        if not server.process.running() or server.is_down:
+            return
+        await self._system.note_runs(server)
+        server.is_down = True
+        server.process.kill()
+        server.process.wait()
+        old_id = server.instance_id
+        await curio.sleep(fault.for_s)
+        self._system.start_server(server)
+        await curio.sleep(LAPSE_S)
+        await self._system.drop(old_id)
+
+    async def retire_server(self, server, fault):
+        """Let a server leave as planned, and a new one come at its address."""
+        if server.is_down or server.state != "ready":
+            return
+        old_id = server.instance_id
+        await self._system.announce_leaving(server)
+        await curio.sleep(SERVE_ON_S)
+        if server.instance_id != old_id or not server.process.running():
+            return
+        await self._system.note_runs(server)
+        server.is_down = True
+        server.process.kill()
+        server.process.wait()
+        await self._system.drop(old_id)
+        self._system.start_server(server)
+
+    async def spoil_answers(self, server, fault):
+        """Let a server lose, break or garble some answers."""
+        ways = random.Random(fault.seed).sample(SPOILT_WAYS, 3)
+        await self._spoil(server, dict.fromkeys(ways, SPOILT_SHARE), fault.seed)
+        await curio.sleep(fault.for_s)
+        await self._spoil(server, {}, fault.seed)
+
+    async def store_mode(self, subject, fault, mode, lapse=False):
+        """Let the store turn everybody away for a while."""
+        token = (mode, fault.seed)
+        self._store_modes.append(token)
+        await self._system.set_store(mode=mode)
+        await curio.sleep(fault.for_s / 2)
+        if lapse:
+            await self._system.set_store(lapse=TARGETS_TOPIC)
+        await curio.sleep(fault.for_s / 2)
+        self._store_modes.remove(token)
+        left = self._store_modes[-1][0] if self._store_modes else "up"
+        await self._system.set_store(mode=left)
+
+    async def store_forgets(self, subject, fault):
+        """Let the store drop old records of both topics."""
+        for topic in (TARGETS_TOPIC, "keyed.op"):
+            await self._system.set_store(forget=topic)
+
+    async def publish(self, subject, fault, count=1):
+        """Publish a version, or a quick series of them."""
+        for _ in range(count):
+            await self._system.publish()
+            await curio.sleep(STORM_GAP_S)
+
+    async def _hurt_link(self, node, relay, for_s, **values):
+        await link(node, "/link", relay, **values)
+        await curio.sleep(for_s)
+        await link(node, "/link", relay)
+
+    async def _spoil(self, server, shares, seed):
+        if not server.is_down and server.process.running():
+            await self._system.set_server(server, shares=shares, seed=seed)
+
+
+_WAYS = {
+    "freeze gateway": Faults.freeze,
+    "kill gateway": Faults.kill_gateway,
+    "stop gateway": Faults.stop_gateway,
+    "reload gateway": Faults.reload_gateway,
+    "delay callers": partial(Faults.delay, relay=CALLERS_RELAY),
+    "reset callers": partial(Faults.reset, relay=CALLERS_RELAY),
+    "silence callers": partial(Faults.silence, relay=CALLERS_RELAY),
+    "cut callers": partial(Faults.cut, relay=CALLERS_RELAY),
+    "delay store link": partial(Faults.delay, relay=STORE_RELAY),
+    "reset store link": partial(Faults.reset, relay=STORE_RELAY),
+    "silence store link": partial(Faults.silence, relay=STORE_RELAY),
+    "cut store link": partial(Faults.cut, relay=STORE_RELAY),
+    "freeze server": Faults.freeze,
+    "kill server": Faults.kill_server,
+    "retire server": Faults.retire_server,
+    "spoil answers": Faults.spoil_answers,
+    "delay server link": Faults.delay,
+    "reset server link": Faults.reset,
+    "silence server link": Faults.silence,
+    "cut server link": Faults.cut,
+    "store busy": partial(Faults.store_mode, mode="busy"),
+    "store silent": partial(Faults.store_mode, mode="silent"),
+    "store resets": partial(Faults.store_mode, mode="reset"),
+    "store deaf": partial(Faults.store_mode, mode="deaf"),
+    "store forgets": Faults.store_forgets,
+    "entries lapse": partial(Faults.store_mode, mode="busy", lapse=True),
+    "publish": Faults.publish,
+    "publish storm": partial(Faults.publish, count=STORM_COUNT),
+}
--- /dev/null
+++ b/scripts/soak/_plan.py
@@ -0,0 +1,105 @@
+"""Which faults a seed brings, and when."""
+
+import random
+
+GATEWAY, SERVER, STORE, OPERATOR = "gateway", "server", "store", "operator"
+# Kind of fault: what it is done to, and how long it lasts, seconds.
+FAULT_KINDS = {
+    "freeze gateway": (GATEWAY, (0.2, 3.0)),
+    "kill gateway": (GATEWAY, (0.1, 1.5)),
+    "stop gateway": (GATEWAY, (0.1, 1.0)),
+    "reload gateway": (GATEWAY, (0.0, 0.0)),
+    "delay callers": (GATEWAY, (0.5, 3.0)),
+    "reset callers": (GATEWAY, (0.0, 0.0)),
+    "silence callers": (GATEWAY, (0.0, 0.0)),
+    "cut callers": (GATEWAY, (0.3, 2.0)),
+    "delay store link": (GATEWAY, (0.5, 3.0)),
+    "reset store link": (GATEWAY, (0.0, 0.0)),
+    "silence store link": (GATEWAY, (0.0, 0.0)),
+    "cut store link": (GATEWAY, (0.5, 4.0)),
+    "freeze server": (SERVER, (0.2, 3.0)),
+    "kill server": (SERVER, (0.1, 1.0)),
+    "retire server": (SERVER, (0.0, 0.0)),
+    "spoil answers": (SERVER, (0.5, 4.0)),
+    "delay server link": (SERVER, (0.5, 3.0)),
+    "reset server link": (SERVER, (0.0, 0.0)),
+    "silence server link": (SERVER, (0.0, 0.0)),
+    "cut server link": (SERVER, (0.3, 3.0)),
+    "store busy": (STORE, (0.3, 5.0)),
+    "store silent": (STORE, (0.3, 4.0)),
+    "store resets": (STORE, (0.3, 5.0)),
+    "store deaf": (STORE, (0.3, 3.0)),
+    "store forgets": (STORE, (0.0, 0.0)),
+    "entries lapse": (STORE, (1.0, 4.0)),
+    "publish": (OPERATOR, (0.0, 0.0)),
+    "publish storm": (OPERATOR, (0.0, 0.0)),
+}
+# Few faults leave parts alone for long enough that time bounds hold for them; many
+# overlap.
+FAULTS_PER_S = (0.3, 2.5)
+SERIES_SHARE = 0.3
+SERIES_LENGTH = 3
+SERIES_GAP_S = 0.7
+
+
+class Fault:
+    """One fault of a plan.
+
+    Parameters
+    ----------
+    kind : str
+        Of `FAULT_KINDS`.
+    subject : int
+        Number of the gateway or the server.
+    at_s : float
+        Seconds from the start of the load.
+    for_s : float
+        How long it lasts.
+    seed : int
+        For what it draws itself.
+    """
+
+    __slots__ = ("at_s", "for_s", "kind", "seed", "subject")
+
+    def __init__(self, kind, subject, at_s, for_s, seed):
+        self.kind = kind
+        self.subject = subject
+        self.at_s = at_s
+        self.for_s = for_s
+        self.seed = seed
+
+    def __str__(self):
+        return f"{self.at_s:.2f} s {self.kind} {self.subject} for {self.for_s:.2f} s"
+
+
+def draw_plan(seed, trouble_s, gateway_count, server_count):
+    """Return the faults of a seed, by time.
+
+    Some come as a series of the same kind on the same part; any of them may overlap.
+
+    Parameters
+    ----------
+    seed : int
+        The seed.
+    trouble_s : float
+        All of them have ended by then.
+    gateway_count, server_count : int
+        Parts to choose from.
+    """
+    drawn = random.Random(seed)
+    per_second = drawn.uniform(*FAULTS_PER_S)
+    faults = []
+    while len(faults) < trouble_s * per_second:
+        kind = drawn.choice(list(FAULT_KINDS))
+        part, (shortest_s, longest_s) = FAULT_KINDS[kind]
+        subject = drawn.randrange(gateway_count if part == GATEWAY else server_count)
+        at_s = drawn.uniform(0.5, trouble_s)
+        count = SERIES_LENGTH if drawn.random() < SERIES_SHARE else 1
+        for number in range(count):
+            begins_s = at_s + number * SERIES_GAP_S
+            for_s = drawn.uniform(shortest_s, longest_s)
+            for_s = min(for_s, trouble_s - begins_s)
+            if for_s >= 0:
+                fault = Fault(kind, subject, begins_s, for_s, drawn.randrange(2**31))
+                faults.append(fault)
+    return sorted(faults, key=lambda fault: fault.at_s)
--- /dev/null
+++ b/scripts/soak/_promises.py
@@ -0,0 +1,290 @@
+"""What must hold in every run, judged from what callers and servers saw.
+
+Each check takes `Records` and returns a line on everything that broke its promise.
+Time bounds hold for gateways that were left alone for a while, as did the store.
+"""
+
+import collections
+
+from scripts.soak._records import STABLE_WINDOW_S
+from scripts.soak._system import ACCOUNT, ROUTE_TIMEOUT_S
+from standins.platform_service import expected_body
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+DENIED_STATUSES = (401, 403, 404)
+# Bounds of the platform's first deployments; the last is for the clocks of processes.
+IN_FORCE_S = 2.0
+LEAVING_S = 2.0
+FINAL_ANSWER_S = 0.5
+LEFT_BEHIND_S = 0.5
+REGRESS_S = 0.25
+MEASURING_S = 0.2
+SERVED_AT_THE_END = 0.9
+STORE = ("store", "store")
+
+
+class Runs:
+    """Runs of all servers by request id.
+
+    Parameters
+    ----------
+    records : Records
+        The run.
+    """
+
+    __slots__ = ("_by_id", "_records")
+
+    def __init__(self, records):
+        self._records = records
+        self._by_id = collections.defaultdict(list)
+        for instance_id, runs in records.runs.items():
+            for run in runs:
+                self._by_id[run["request_id"]].append((instance_id, run))
+
+    def of(self, call):
+        """Return the pairs of instance id and run of a call that did run."""
+        return [pair for pair in self._by_id[call.request_id] if pair[1]["ran"]]
+
+    def sound(self, call):
+        """Return those that their server answered whole while it was left alone."""
+        return [
+            (instance_id, run)
+            for instance_id, run in self.of(call)
+            if run["answered"]
+            and self._records.disruptions.is_calm(
+                ("server", self._records.server_of[instance_id]),
+                run["arrived_s"],
+                run["ended_s"] + STABLE_WINDOW_S,
+            )
+        ]
+
+
+def ran_twice(records, runs):
+    """Requests that may run once, and ran more often."""
+    return [
+        f"ran {len(runs.of(call))} times: {call}"
+        for call in records.calls
+        if call.kind == "unsafe" and len(runs.of(call)) > 1
+    ]
+
+
+def refused_but_ran(records, runs):
+    """Answers that promise that nothing ran, though it did."""
+    return [
+        f"refused but ran: {call}"
+        for call in records.calls
+        if call.kind == "unsafe"
+        and call.answer.status in NOT_RUN_STATUSES
+        and runs.of(call)
+    ]
+
+
+def wrong_answer(records, runs):
+    """Successes that are not the server's whole answer, or go wrong on the way."""
+    broken = []
+    for call in records.calls:
+        answer = call.answer
+        if answer.status != 200:
+            continue
+        expected = expected_body(call.request_id, call.path)
+        body = bytes(answer.body)
+        is_right = body == expected if answer.whole else expected.startswith(body)
+        if not is_right or "x-response-seal" not in answer.headers:
+            broken.append(f"wrong answer {body[:80]!r}: {call}")
+    return broken
+
+
+def answer_lost(records, runs):
+    """Requests that a sound server answered, and whose connection ended without."""
+    return [
+        f"answer lost: {call}"
+        for call in records.calls
+        if call.answer.status is None
+        and not call.left
+        and _is_untouched(records, call)
+        and runs.sound(call)
+    ]
+
+
+def held_too_long(records, runs):
+    """Requests without a final answer half a second after their route's time."""
+    limit_s = ROUTE_TIMEOUT_S + FINAL_ANSWER_S + MEASURING_S
+    return [
+        f"held too long: {call}"
+        for call in records.calls
+        if not call.left
+        and call.ended_s - call.started_s > limit_s
+        and _is_in_touch(records, call.gateway, call.started_s, call.ended_s)
+    ]
+
+
+def denied(records, runs):
+    """Requests that every version allows, and that were denied."""
+    return [
+        f"denied: {call}"
+        for call in records.calls
+        if call.answer.status in DENIED_STATUSES
+    ]
+
+
+def not_asked_for(records, runs):
+    """Runs of requests that no caller sent, or for another account."""
+    sent = {call.request_id for call in records.calls}
+    broken = []
+    for instance_id, of_server in records.runs.items():
+        for run in of_server:
+            is_known = run["request_id"] in sent
+            is_probe = run["request_id"].startswith("probe-")
+            if not (is_known or is_probe) or run["account"] != ACCOUNT:
+                broken.append(f"not asked for at {instance_id}: {run}")
+    return broken
+
+
+def leaving_server_used(records, runs):
+    """Requests that reached a server long after it had said that it leaves."""
+    gateways = {call.request_id: call.gateway for call in records.calls}
+    broken = []
+    for leaving in records.leavings:
+        limit_s = leaving.confirmed_s + LEAVING_S + MEASURING_S
+        server = ("server", records.server_of[leaving.instance_id])
+        for run in records.runs.get(leaving.instance_id, ()):
+            gateway = gateways.get(run["request_id"])
+            if gateway is None or run["arrived_s"] <= limit_s:
+                continue
+            if _is_in_touch_with_store(records, gateway, leaving, run["arrived_s"]):
+                # Its leaving is itself a disturbance of the server; its link's are
+                # told by when the request arrived, late ones are not counted.
+                late_s = run["arrived_s"] - leaving.confirmed_s
+                broken.append(f"{server[1]} used {late_s:.2f} s after: {run}")
+    return broken
+
+
+def configuration_late(records, runs):
+    """Probes that show an old version though a newer one must be in force."""
+    broken = []
+    for probe in records.probes:
+        newest = _newest_due(records, probe.sent_s)
+        if newest is None or not _is_probe_in_touch(records, probe, newest):
+            continue
+        is_newest = probe.version == newest.version
+        is_last = _newest_due(records, probe.ended_s + IN_FORCE_S) is newest
+        if is_newest and is_last and probe.status == 401:
+            broken.append(f"a new key is denied: {probe}")
+        if probe.version < newest.version and probe.status == 200:
+            broken.append(f"an old key is accepted: {probe}")
+    return broken
+
+
+def configuration_regressed(records, runs):
+    """Probes that show an older version than the same process had shown before."""
+    broken = []
+    seen = {}
+    for probe in sorted(records.probes, key=lambda one: one.sent_s):
+        if probe.status != 200:
+            continue
+        start = (probe.gateway, probe.boot)
+        version, since_s = seen.get(start, (0, 0.0))
+        if probe.version < version and probe.sent_s > since_s + REGRESS_S:
+            broken.append(f"went back from version {version}: {probe}")
+        if probe.version > version:
+            seen[start] = (probe.version, probe.ended_s)
+    return broken
+
+
+def worked_on_for_nobody(records, runs):
+    """Servers that still work on what may be repeated, for a caller that has left."""
+    broken = []
+    for call in records.calls:
+        if not call.left or call.kind == "unsafe":
+            continue
+        if not _is_in_touch(records, call.gateway, call.started_s, call.ended_s):
+            continue
+        limit_s = call.ended_s + LEFT_BEHIND_S + MEASURING_S
+        for instance_id, run in runs.of(call):
+            server = ("server", records.server_of[instance_id])
+            is_calm = records.disruptions.is_calm(server, call.started_s, limit_s)
+            if is_calm and (run["ended_s"] is None or run["ended_s"] > limit_s):
+                broken.append(f"worked on for nobody at {instance_id}: {call}")
+    return broken
+
+
+def not_recovered(records, recovered_s):
+    """Whether most requests are served once everything is back.
+
+    Parameters
+    ----------
+    records : Records
+        The run.
+    recovered_s : float
+        From when on requests count, monotonic seconds.
+    """
+    calls = [
+        call
+        for call in records.calls
+        if call.started_s >= recovered_s and not call.left
+    ]
+    served = sum(call.is_served for call in calls)
+    if calls and served >= SERVED_AT_THE_END * len(calls):
+        return []
+    first = next((str(call) for call in calls if not call.is_served), "none was sent")
+    return [f"served {served} of {len(calls)} at the end; {first}"]
+
+
+CHECKS = (
+    ran_twice,
+    refused_but_ran,
+    wrong_answer,
+    answer_lost,
+    held_too_long,
+    denied,
+    not_asked_for,
+    leaving_server_used,
+    configuration_late,
+    configuration_regressed,
+    worked_on_for_nobody,
+)
+
+
+def broken_promises(records, recovered_s):
+    """Return a line on everything in a run that broke a promise."""
+    runs = Runs(records)
+    broken = list(records.troubles)
+    for check in CHECKS:
+        broken += check(records, runs)
+    return broken + not_recovered(records, recovered_s)
+
+
+def _is_untouched(records, call):
+    """Return whether a gateway was not disturbed from a stable window before a call.
+
+    A planned stop counts as no disturbance: it must not cut off what was passed on.
+    """
+    subject = ("gateway", call.gateway)
+    return records.disruptions.is_calm(subject, call.started_s, call.ended_s)
+
+
+def _is_in_touch(records, gateway, from_s, until_s):
+    """Return whether a gateway was neither disturbed nor stopped."""
+    return all(
+        records.disruptions.is_calm((kind, gateway), from_s, until_s)
+        for kind in ("gateway", "stop")
+    )
+
+
+def _is_in_touch_with_store(records, gateway, leaving, until_s):
+    since_s = leaving.confirmed_s
+    is_store_calm = records.disruptions.is_calm(STORE, since_s, until_s)
+    return is_store_calm and _is_in_touch(records, gateway, since_s, until_s)
+
+
+def _newest_due(records, at_s):
+    """Return the newest publication that must be in force at a time, or None."""
+    due = [one for one in records.publications if one.confirmed_s + IN_FORCE_S < at_s]
+    return due[-1] if due else None
+
+
+def _is_probe_in_touch(records, probe, publication):
+    since_s = publication.confirmed_s
+    is_store_calm = records.disruptions.is_calm(STORE, since_s, probe.ended_s)
+    in_touch = _is_in_touch(records, probe.gateway, since_s, probe.ended_s)
+    return is_store_calm and in_touch
--- /dev/null
+++ b/scripts/soak/_records.py
@@ -0,0 +1,219 @@
+"""What was done to a system, and what its callers saw."""
+
+import itertools
+
+# How long a part must have been left alone before time bounds hold for it.
+STABLE_WINDOW_S = 4.0
+
+
+class Disruptions:
+    """When each part of the system was disturbed.
+
+    Parts are named by a kind and a name, as ``("gateway", "gateway-1")``; the store and
+    the links of a part count with it.
+    """
+
+    __slots__ = ("_spans",)
+
+    def __init__(self):
+        self._spans = {}
+
+    def begin(self, subject, at_s):
+        """Note that a disturbance begins; return its span, for `end`."""
+        span = [at_s, None]
+        self._spans.setdefault(subject, []).append(span)
+        return span
+
+    def end(self, span, at_s):
+        """Note that a disturbance has ended."""
+        span[1] = at_s
+
+    def is_calm(self, subject, from_s, until_s):
+        """Return whether a part was left alone since a stable window before a span."""
+        since_s = from_s - STABLE_WINDOW_S
+        return not any(
+            begun_s <= until_s and (ended_s is None or ended_s >= since_s)
+            for begun_s, ended_s in self._spans.get(subject, ())
+        )
+
+    def is_untouched(self, subject, from_s, until_s):
+        """Return whether no disturbance of a part overlaps a span."""
+        return not any(
+            begun_s <= until_s and (ended_s is None or ended_s >= from_s)
+            for begun_s, ended_s in self._spans.get(subject, ())
+        )
+
+
+class CallRecord:
+    """One request as its caller saw it.
+
+    Parameters
+    ----------
+    request_id, kind, path : str
+        The request; kinds are "safe", "unsafe" and "streaming".
+    gateway : str
+        The gateway that it was sent to.
+    answer : scripts._caller_http.RawAnswer
+        What came.
+    started_s, ended_s : float
+        When the caller began and ended, monotonic seconds.
+    left : bool
+        Whether the caller meant to leave before the end.
+    """
+
+    __slots__ = (
+        "answer",
+        "ended_s",
+        "gateway",
+        "kind",
+        "left",
+        "path",
+        "request_id",
+        "started_s",
+    )
+
+    def __init__(
+        self, request_id, kind, path, gateway, answer, started_s, ended_s, left
+    ):
+        self.request_id = request_id
+        self.kind = kind
+        self.path = path
+        self.gateway = gateway
+        self.answer = answer
+        self.started_s = started_s
+        self.ended_s = ended_s
+        self.left = left
+
+    @property
+    def is_served(self):
+        """Whether the whole answer came with success."""
+        return self.answer.whole and self.answer.status == 200
+
+    def __str__(self):
+        waited_s = self.ended_s - self.started_s
+        word = self.answer.status if self.answer.status is not None else "no answer"
+        whole = "whole" if self.answer.whole else "not whole"
+        return (
+            f"{self.kind} {self.request_id} at {self.gateway}: {word}, {whole}, "
+            f"{len(self.answer.body)} bytes, began {self.started_s:.2f}, "
+            f"took {waited_s:.2f} s"
+        )
+
+
+class Publication:
+    """A version of the configuration that the store has confirmed.
+
+    Parameters
+    ----------
+    version : int
+        The version; ``key_of(version)`` is valid in it alone.
+    confirmed_s : float
+        When the store's answer came.
+    """
+
+    __slots__ = ("confirmed_s", "version")
+
+    def __init__(self, version, confirmed_s):
+        self.version = version
+        self.confirmed_s = confirmed_s
+
+
+class Probe:
+    """A request that shows which configuration a gateway has in force.
+
+    Parameters
+    ----------
+    gateway : str
+        The gateway.
+    boot : int
+        Number of its start.
+    version : int
+        The request bears the key of this version.
+    status : int or None
+        What came.
+    sent_s, ended_s : float
+        Monotonic seconds.
+    """
+
+    __slots__ = ("boot", "ended_s", "gateway", "sent_s", "status", "version")
+
+    def __init__(self, gateway, boot, version, status, sent_s, ended_s):
+        self.gateway = gateway
+        self.boot = boot
+        self.version = version
+        self.status = status
+        self.sent_s = sent_s
+        self.ended_s = ended_s
+
+    def __str__(self):
+        return (
+            f"probe of {self.gateway} (start {self.boot}) with the key of version "
+            f"{self.version}: {self.status} at {self.sent_s:.2f}"
+        )
+
+
+class Leaving:
+    """A server that leaves.
+
+    Parameters
+    ----------
+    instance_id : str
+        The server.
+    confirmed_s : float
+        When the store confirmed that it leaves.
+    """
+
+    __slots__ = ("confirmed_s", "instance_id")
+
+    def __init__(self, instance_id, confirmed_s):
+        self.instance_id = instance_id
+        self.confirmed_s = confirmed_s
+
+
+class Records:
+    """Everything that a run has noted.
+
+    Attributes
+    ----------
+    calls, probes, publications, leavings : list
+        See the classes.
+    runs : dict of str to list
+        What each server start has run, by instance id, as JSON values.
+    server_of : dict of str to str
+        Name of the server of each instance id.
+    faults : list of str
+        What was done, for people.
+    troubles : list of str
+        What went wrong with the processes themselves.
+    disruptions : Disruptions
+        When each part was disturbed.
+    """
+
+    __slots__ = (
+        "_numbers",
+        "calls",
+        "disruptions",
+        "faults",
+        "leavings",
+        "probes",
+        "publications",
+        "runs",
+        "server_of",
+        "troubles",
+    )
+
+    def __init__(self):
+        self._numbers = itertools.count(1)
+        self.calls = []
+        self.probes = []
+        self.publications = []
+        self.leavings = []
+        self.runs = {}
+        self.server_of = {}
+        self.faults = []
+        self.troubles = []
+        self.disruptions = Disruptions()
+
+    def next_number(self):
+        """Return a number that no request has had."""
+        return next(self._numbers)
--- /dev/null
+++ b/scripts/soak/_system.py
@@ -0,0 +1,320 @@
+"""The processes of a run: store, servers, gateways and the relays between them."""
+
+import os
+import sys
+import time
+
+import curio
+
+from scripts._caller_http import CallerConnection
+from scripts._cluster import control
+from scripts._platform_files import (
+    append_path,
+    configuration,
+    listed,
+    record_bytes,
+    route,
+    settings_text,
+)
+from scripts._processes import free_ports, StartError
+from scripts.soak._records import Leaving, Publication
+
+LOOPBACK = "127.0.0.1"
+TARGETS_TOPIC = "keyed.servers"
+CONFIGURATION_TOPIC = "keyed.op"
+ACCOUNT, ACCOUNT_KEY = "inspectorate", "soak-key"
+ROUTE_TIMEOUT_S = 3.0
+GRACE_S = 3
+BEAT_S = 1.0
+# Servers that are silent for so long are dropped from the list.
+LAPSE_S = 3.0
+CALL_WAIT_S = 1.0
+RETRY_S = 0.05
+# How long a server that leaves goes on serving after the store has confirmed it.
+SERVE_ON_S = 3.0
+DOMAINS = ("a", "b")
+
+
+def key_of(version):
+    """Return the key that is valid in one version only."""
+    return f"key-{version}"
+
+
+def routes():
+    """Return the routes of every version."""
+    times = {"timeout_ms": int(ROUTE_TIMEOUT_S * 1000)}
+    return [
+        route("/stream/", "streaming", resumable=True, **times),
+        route("/unsafe/", "unsafe", attempts=1, **times),
+        route("/safe/", "safe", **times),
+    ]
+
+
+class GatewayNode:
+    """A gateway and its two relays."""
+
+    __slots__ = (
+        "boot",
+        "callers",
+        "control",
+        "domain",
+        "front",
+        "ip",
+        "name",
+        "process",
+        "ready",
+        "settings_path",
+    )
+
+    def __init__(self, number, ports):
+        self.name = f"gateway-{number}"
+        self.ip = f"127.0.0.{number + 2}"
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        self.front, self.ready, control_port = ports
+        self.control = (LOOPBACK, control_port)
+        # Where callers connect: the relay in front of it.
+        self.callers = None
+        self.process = None
+        self.settings_path = None
+        self.boot = 0
+
+
+class ServerNode:
+    """A server, its relay and its entry in the list."""
+
+    __slots__ = (
+        "control",
+        "domain",
+        "instance_id",
+        "is_down",
+        "name",
+        "port",
+        "process",
+        "relayed",
+        "starts",
+        "state",
+    )
+
+    def __init__(self, number, ports):
+        self.name = f"server-{number}"
+        self.port, control_port = ports
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        self.control = (LOOPBACK, control_port)
+        # Where the list says that it is: the relay in front of it.
+        self.relayed = None
+        self.process = None
+        self.starts = 0
+        self.instance_id = None
+        self.state = "ready"
+        # Whether it sends no reports at present.
+        self.is_down = True
+
+
+class SoakSystem:
+    """A running system.
+
+    Parameters
+    ----------
+    processes : scripts._processes.Processes
+        Starts and ends them.
+    folder : pathlib.Path
+        For settings files.
+    records : Records
+        Where everything is noted.
+    gateway_count, server_count : int
+        How many of each.
+    """
+
+    __slots__ = (
+        "_folder",
+        "_processes",
+        "_sequence",
+        "_version",
+        "gateways",
+        "peer_port",
+        "records",
+        "servers",
+        "store",
+    )
+
+    def __init__(self, processes, folder, records, gateway_count, server_count):
+        # A gateway has three, a server two with the controls of their relays.
+        ports = iter(free_ports(1 + 3 * gateway_count + 2 * server_count))
+        self._processes = processes
+        self._folder = folder
+        self._version = 0
+        self._sequence = 0
+        self.records = records
+        self.peer_port = next(ports)
+        self.gateways = [
+            GatewayNode(number, (next(ports), next(ports), next(ports)))
+            for number in range(gateway_count)
+        ]
+        self.servers = [
+            ServerNode(number, (next(ports), next(ports)))
+            for number in range(server_count)
+        ]
+        self.store = None
+
+    async def start(self):
+        """Start everything and wait until the gateways are ready."""
+        store = self._start_module("store", "standins.platform_store")
+        self.store = store.read_address()
+        await self.publish()
+        for server in self.servers:
+            [server.relayed] = self._relay(server, [(LOOPBACK, server.port)])
+            self.start_server(server)
+        await self.report_all()
+        for gateway in self.gateways:
+            targets = [(gateway.ip, gateway.front), self.store]
+            gateway.callers, store = self._relay(gateway, targets)
+            gateway.settings_path = self._folder / f"{gateway.name}.toml"
+            self.write_settings(gateway, store, GRACE_S)
+            self.start_gateway(gateway)
+        for gateway in self.gateways:
+            await self.until_ready(gateway)
+
+    def write_settings(self, gateway, store, grace_s):
+        """Write the settings file of a gateway."""
+        text = settings_text(
+            gateway.name,
+            (gateway.front, gateway.ready, self.peer_port),
+            store,
+            gateway.domain,
+            gateway.ip,
+            [one.ip for one in self.gateways[:3]],
+            grace_s,
+        )
+        gateway.settings_path.write_text(text)
+
+    def start_gateway(self, gateway):
+        """Start the process of a gateway."""
+        gateway.boot += 1
+        os.environ["SISKINTHREAD_BOOT"] = str(gateway.settings_path)
+        command = [sys.executable, "-m", "siskinthread.platform"]
+        gateway.process = self._processes.start(gateway.name, command)
+
+    def start_server(self, server):
+        """Start the process of a server, which gets a new id."""
+        server.starts += 1
+        server.instance_id = f"i-{server.name}-{server.starts}"
+        server.state = "ready"
+        self.records.server_of[server.instance_id] = server.name
+        options = ["--port", str(server.port), "--steady"]
+        options += ["--instance-id", server.instance_id]
+        server.process = self._start_module(
+            server.name, "standins.platform_server", *options
+        )
+        server.process.read_address()
+        server.is_down = False
+
+    async def until_ready(self, gateway):
+        """Wait until a gateway says that it is ready."""
+        deadline_s = time.monotonic() + 10.0
+        while not await self.is_ready(gateway):
+            if time.monotonic() > deadline_s:
+                self.records.troubles.append(f"{gateway.name} did not get ready")
+                return
+            await curio.sleep(RETRY_S)
+
+    async def is_ready(self, gateway):
+        """Return whether a gateway answers that it is ready."""
+        connection = CallerConnection((gateway.ip, gateway.ready))
+        path = "/siskinthread/ready"
+        answer = await connection.call("GET", path, [], b"", 0.5)
+        await connection.close()
+        return answer.status == 200
+
+    async def publish(self):
+        """Publish the next version, and keep at it until the store confirms it."""
+        self._version += 1
+        version = self._version
+        keys = [ACCOUNT_KEY, key_of(version)]
+        value = configuration(version, routes(), {ACCOUNT: keys})
+        await self._write(CONFIGURATION_TOPIC, "config", value)
+        publication = Publication(version, time.monotonic())
+        self.records.publications.append(publication)
+
+    async def report(self, server):
+        """Write a server's entry once; return whether the store took it."""
+        self._sequence += 1
+        entry = listed(server.relayed, server.domain, server.state, self._sequence)
+        return await self._write_once(TARGETS_TOPIC, server.instance_id, entry)
+
+    async def report_all(self):
+        """Write the entry of each server that is up."""
+        async with curio.TaskGroup(wait=all) as group:
+            for server in self.servers:
+                if not server.is_down:
+                    await group.spawn(self.report, server)
+
+    async def keep_reporting(self):
+        """Report until cancelled."""
+        while True:
+            await curio.sleep(BEAT_S)
+            await self.report_all()
+
+    async def announce_leaving(self, server):
+        """Let a server report that it leaves, and note the store's word."""
+        server.state = "draining"
+        while not await self.report(server):
+            await curio.sleep(RETRY_S)
+        leaving = Leaving(server.instance_id, time.monotonic())
+        self.records.leavings.append(leaving)
+
+    async def drop(self, instance_id):
+        """Take a server off the list."""
+        await self._write(TARGETS_TOPIC, instance_id, None)
+
+    async def note_runs(self, server):
+        """Note what a server has run so far."""
+        if server.process is None or not server.process.running():
+            return
+        try:
+            answer = await control((LOOPBACK, server.port), "GET", "/runs")
+        except StartError:
+            # It is stopped at this moment; what it ran stays unknown if it is killed.
+            self.records.faults.append(f"runs of {server.instance_id} not read")
+            return
+        self.records.runs[server.instance_id] = answer["runs"]
+
+    async def set_server(self, server, **faults):
+        """Set faults of a server."""
+        try:
+            await control((LOOPBACK, server.port), "POST", "/faults", faults)
+        except StartError:
+            self.records.faults.append(f"faults of {server.instance_id} not set")
+
+    async def set_store(self, **faults):
+        """Set faults of the store."""
+        await control(self.store, "POST", "/faults", faults)
+
+    async def _write(self, topic, key, value):
+        while not await self._write_once(topic, key, value):
+            await curio.sleep(RETRY_S)
+
+    async def _write_once(self, topic, key, value):
+        connection = CallerConnection(self.store)
+        body = record_bytes(key, value)
+        path = append_path(topic)
+        answer = await connection.call("POST", path, [], body, CALL_WAIT_S)
+        await connection.close()
+        return answer.status == 200
+
+    def _start_module(self, name, module, *options):
+        command = [sys.executable, "-m", module, *options]
+        return self._processes.start(name, command, states_address=True)
+
+    def _relay(self, node, addresses):
+        """Start the relays of a node; return where each of them listens."""
+        command = [sys.executable, "-m", "scripts._fault_proxy"]
+        command += ["--control-port", str(node.control[1])]
+        for host, port in addresses:
+            command += ["--to", f"{host}:{port}"]
+        process = self._processes.start(f"relay-{node.name}", command, True)
+        return [process.read_address() for _ in addresses]
+
+
+async def link(node, path, relay=0, **values):
+    """Set a fault of one of a node's relays."""
+    return await control(node.control, "POST", path, {"relay": relay, **values})
--- /dev/null
+++ b/scripts/soak/tests/test_plan.py
@@ -0,0 +1,23 @@
+"""Plans that seeds bring."""
+
+from scripts.soak._faults import _WAYS
+from scripts.soak._plan import draw_plan, FAULT_KINDS
+
+
+def test_seed_brings_the_same_plan_each_time():
+    """A seed that failed can be run again."""
+    first, again = (draw_plan(7, 12.0, 3, 4) for _ in range(2))
+    assert [str(fault) for fault in first] == [str(fault) for fault in again]
+    assert str(first[0]) != str(draw_plan(8, 12.0, 3, 4)[0])
+
+
+def test_all_faults_end_in_time():
+    """What lasts longer would disturb the recovery that is judged."""
+    for seed in range(50):
+        for fault in draw_plan(seed, 12.0, 3, 4):
+            assert 0 <= fault.at_s <= fault.at_s + fault.for_s <= 12.0 + 1e-9
+
+
+def test_every_kind_of_fault_can_be_carried_out():
+    """Plans name no fault that is not there."""
+    assert set(FAULT_KINDS) == set(_WAYS)
--- /dev/null
+++ b/scripts/soak/tests/test_promises.py
@@ -0,0 +1,142 @@
+"""Each promise of the soak is seen to be broken when it is."""
+
+import pytest
+
+from scripts._caller_http import RawAnswer
+from scripts.soak import _promises
+from scripts.soak._records import CallRecord, Leaving, Probe, Publication, Records
+from standins.platform_service import expected_body
+
+GATEWAY = "gateway-0"
+# Long after the start, so that a stable window lies before it.
+AT_S = 100.0
+
+
+def answer(status=200, body=None, whole=True, seal=True):
+    """Return what a caller saw."""
+    raw = RawAnswer()
+    raw.status = status
+    raw.whole = whole
+    raw.body += body if body is not None else b""
+    raw.headers = {"x-response-seal": "s"} if seal else {}
+    return raw
+
+
+def call(kind="unsafe", seen=None, took_s=0.1, left=False, request_id="soak-1"):
+    """Return a request that came to an answer."""
+    path = f"/{'stream' if kind == 'streaming' else kind}/x"
+    if seen is None:
+        seen = answer(body=expected_body(request_id, path))
+    ended_s = AT_S + took_s
+    return CallRecord(request_id, kind, path, GATEWAY, seen, AT_S, ended_s, left)
+
+
+def run(request_id="soak-1", arrived_s=AT_S, ended_s=AT_S + 0.1, **fields):
+    """Return what a server noted of a request."""
+    values = {
+        "request_id": request_id,
+        "path": "/unsafe/x",
+        "account": "inspectorate",
+        "arrived_s": arrived_s,
+        "ended_s": ended_s,
+        "ran": True,
+        "answered": True,
+    }
+    return values | fields
+
+
+def records(calls=(), runs=(), probes=(), publications=(), leavings=()):
+    """Return the records of a run with one server."""
+    noted = Records()
+    noted.calls += calls
+    noted.probes += probes
+    noted.publications += publications
+    noted.leavings += leavings
+    noted.runs = {"i-1": list(runs)}
+    noted.server_of = {"i-1": "server-0"}
+    return noted
+
+
+def broken(check, noted):
+    """Return what a check finds."""
+    return check(noted, _promises.Runs(noted))
+
+
+def test_run_in_order_breaks_nothing():
+    """A request that ran once and was answered whole."""
+    noted = records([call()], [run()])
+    assert _promises.broken_promises(noted, AT_S) == []
+
+
+LOST = answer(status=None, whole=False)
+REFUSED = answer(status=503)
+BROKEN = {
+    "ran_twice": records([call()], [run(), run()]),
+    "refused_but_ran": records([call(seen=REFUSED)], [run()]),
+    "wrong_answer": records([call(seen=answer(body=b"soak-2 /unsafe/x\n"))]),
+    "answer_lost": records([call(seen=LOST)], [run()]),
+    "held_too_long": records([call(seen=LOST, took_s=4.0)]),
+    "denied": records([call(seen=answer(status=401))]),
+    "not_asked_for": records([], [run("smuggled")]),
+    "leaving_server_used": records(
+        [call()], [run(arrived_s=AT_S + 3)], leavings=[Leaving("i-1", AT_S)]
+    ),
+    "configuration_late": records(
+        probes=[Probe(GATEWAY, 1, 2, 401, AT_S + 3, AT_S + 3.1)],
+        publications=[Publication(1, AT_S - 50), Publication(2, AT_S)],
+    ),
+    "configuration_regressed": records(
+        probes=[
+            Probe(GATEWAY, 1, 2, 200, AT_S, AT_S + 0.1),
+            Probe(GATEWAY, 1, 1, 200, AT_S + 1, AT_S + 1.1),
+        ]
+    ),
+    "worked_on_for_nobody": records(
+        [call("safe", LOST, left=True)], [run(ended_s=AT_S + 2)]
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_broken_promise_is_seen(name):
+    """Every check finds what it is there for."""
+    assert len(broken(getattr(_promises, name), BROKEN[name])) == 1
+
+
+def test_every_check_has_a_case():
+    """No check stands untested."""
+    assert {check.__name__ for check in _promises.CHECKS} == set(BROKEN)
+
+
+def test_old_key_is_seen_too():
+    """A revoked key that passes later than it may."""
+    noted = records(
+        probes=[Probe(GATEWAY, 1, 1, 200, AT_S + 3, AT_S + 3.1)],
+        publications=[Publication(1, AT_S - 50), Publication(2, AT_S)],
+    )
+    assert len(broken(_promises.configuration_late, noted)) == 1
+
+
+@pytest.mark.parametrize("name", ["answer_lost", "held_too_long", "configuration_late"])
+def test_time_bounds_hold_for_undisturbed_gateways(name):
+    """A gateway that was stopped a moment ago is not held to them."""
+    noted = BROKEN[name]
+    span = noted.disruptions.begin(("gateway", GATEWAY), AT_S - 1)
+    try:
+        assert broken(getattr(_promises, name), noted) == []
+    finally:
+        noted.disruptions.end(span, AT_S - 90)
+
+
+def test_planned_stop_excuses_no_lost_answer():
+    """Symptom: a request is cut off by an upgrade."""
+    noted = records([call(seen=LOST)], [run()])
+    noted.disruptions.begin(("stop", GATEWAY), AT_S - 1)
+    assert len(broken(_promises.answer_lost, noted)) == 1
+
+
+def test_refusals_at_the_end_are_no_recovery():
+    """Symptom: all is back, and callers are still refused."""
+    noted = records([call(seen=REFUSED)])
+    assert len(_promises.not_recovered(noted, AT_S - 1)) == 1
+    assert len(_promises.not_recovered(noted, AT_S + 1)) == 1
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,8 +3,9 @@
 Run it with ``python -m standins.platform_store --port 0``.  It serves the calls that
 the project uses: appending, reading with a wait, the newest record of each key, and
 joining a group of members.  ``POST /faults`` takes ``mode``: "up", "busy" (503),
-"silent" (no answer), "reset", or "deaf" (reads that wait hear of no change); and
-``forget``: a topic whose records are dropped but for the newest of each key.
+"silent" (no answer), "reset", or "deaf" (reads that wait hear of no change);
+``forget``: a topic whose records are dropped but for the newest of each key; and
+``lapse``: a topic whose keys are all dropped.
 """
 
 import argparse
@@ -64,6 +65,11 @@
         async with self.added:
             await self.added.notify_all()
 
+    async def lapse(self):
+        """Drop every key, as if its writer had been silent."""
+        for key in list(self.newest):
+            await self.append(bytes([len(key)]) + key.encode())
+
     def forget(self):
         """Drop every record but the newest of each key."""
         self.first = self.end
@@ -122,6 +128,8 @@
         self.mode = faults.get("mode", self.mode)
         if "forget" in faults:
             self._topic(faults["forget"]).forget()
+        if "lapse" in faults:
+            await self._topic(faults["lapse"]).lapse()
 
     def _topic(self, name):
         return self.topics.setdefault(name, Topic())
