Replace a server of the soak under its lock

Ruled out: the gateways, which went on and logged their lost dependencies.

Change: a kill and a start of one server are one step under a lock; a process that does not start is a broken run, not the end of the others' faults.

--- a/scripts/soak/_faults.py
+++ b/scripts/soak/_faults.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from scripts._processes import StartError
 from scripts.soak._plan import FAULT_KINDS, GATEWAY, SERVER, STORE
 from scripts.soak._system import GRACE_S, LAPSE_S, link, SERVE_ON_S, TARGETS_TOPIC
 
@@ -60,6 +61,8 @@
         span = self._records.disruptions.begin((kind, name[1]), time.monotonic())
         try:
             await carry_out(self, subject, fault)
+        except StartError as error:
+            self._records.troubles.append(f"{fault}: {error}")
         finally:
             self._records.disruptions.end(span, time.monotonic())
 
@@ -134,33 +137,33 @@
 
     async def kill_server(self, server, fault):
         """Kill a server; a new one comes at its address."""
-        if not server.process.running() or server.is_down:
-            return
-        await self._system.note_runs(server)
-        server.is_down = True
-        server.process.kill()
-        server.process.wait()
         old_id = server.instance_id
-        await curio.sleep(fault.for_s)
-        self._system.start_server(server)
-        await curio.sleep(LAPSE_S)
-        await self._system.drop(old_id)
+        if await self._replace(server, old_id, fault.for_s):
+            await curio.sleep(LAPSE_S)
+            await self._system.drop(old_id)
 
     async def retire_server(self, server, fault):
         """Let a server leave as planned, and a new one come at its address."""
+        old_id = server.instance_id
         if server.is_down or server.state != "ready":
             return
-        old_id = server.instance_id
         await self._system.announce_leaving(server)
         await curio.sleep(SERVE_ON_S)
-        if server.instance_id != old_id or not server.process.running():
-            return
-        await self._system.note_runs(server)
-        server.is_down = True
-        server.process.kill()
-        server.process.wait()
-        await self._system.drop(old_id)
-        self._system.start_server(server)
+        if await self._replace(server, old_id, 0.0):
+            await self._system.drop(old_id)
+
+    async def _replace(self, server, old_id, pause_s):
+        """Kill a start of a server and begin another; return whether it was there."""
+        async with server.lock:
+            if server.instance_id != old_id or server.is_down:
+                return False
+            await self._system.note_runs(server)
+            server.is_down = True
+            server.process.kill()
+            server.process.wait()
+            await curio.sleep(pause_s)
+            self._system.start_server(server)
+            return True
 
     async def spoil_answers(self, server, fault):
         """Let a server lose, break or garble some answers."""
--- a/scripts/soak/_system.py
+++ b/scripts/soak/_system.py
@@ -87,6 +87,7 @@
         "domain",
         "instance_id",
         "is_down",
+        "lock",
         "name",
         "port",
         "process",
@@ -108,6 +109,8 @@
         self.state = "ready"
         # Whether it sends no reports at present.
         self.is_down = True
+        # Held while one process is replaced by another at its port.
+        self.lock = curio.Lock()
 
 
 class SoakSystem:
