Log when a group is seen to stand still, and when it moves again

Purpose: that belief decides which requests go where and who looks at a group, and no line told of it. One line when it begins, one when it ends, one when a host looks at a group that another one controls.

--- a/siskinthread/gateway/_group_progress.py
+++ b/siskinthread/gateway/_group_progress.py
@@ -6,8 +6,11 @@
 been stopped.
 """
 
+from siskinthread.observability import part_logger
 from siskinthread.timing import Deadline
 
+_logger = part_logger("gateway")
+
 
 class GroupProgress:
     """When own streams of each group last got an event.
@@ -54,7 +57,12 @@
 
     def event_came(self, group):
         """Note that a stream of a group got an event."""
-        self._last_event_s[group] = self._clock.monotonic_s()
+        now_s = self._clock.monotonic_s()
+        if group in self._stalled:
+            del self._stalled[group]
+            silent_s = round(now_s - self._last_event_s[group], 3)
+            _logger.event("group moves again", group=group, silent_s=silent_s)
+        self._last_event_s[group] = now_s
 
     def stream_began(self, group, instance_id):
         """Note that a stream has got its first event."""
@@ -73,12 +81,9 @@
         for group, targets in self._streams.items():
             # One silent target may be cut off from this entry alone; it takes two.
             if len(set(targets)) > 1 and not self._is_moving(group):
-                limit_s = self._settings.stall_memory_s
-                self._stalled[group] = Deadline.after(self._clock, limit_s)
+                self._note_stalled(group, len(targets))
         return sorted(
-            group
-            for group, expiry in self._stalled.items()
-            if not expiry.passed() and not self._is_moving(group)
+            group for group, expiry in self._stalled.items() if not expiry.passed()
         )
 
     def is_stalled(self, group):
@@ -89,6 +94,14 @@
             return True
         return self.peers is not None and group in self.peers.stalled_groups()
 
+    def _note_stalled(self, group, stream_count):
+        if group not in self._stalled:
+            _logger.event(
+                "group stands still", group=group, silent_streams=stream_count
+            )
+        limit_s = self._settings.stall_memory_s
+        self._stalled[group] = Deadline.after(self._clock, limit_s)
+
     def _is_moving(self, group):
         last_s = self._last_event_s.get(group)
         if last_s is None:
--- a/siskinthread/group_maps/_duty.py
+++ b/siskinthread/group_maps/_duty.py
@@ -142,6 +142,7 @@
                 controller = self._build_controller(name, clients)
                 if controller is not None:
                     task = await curio.spawn(controller.relieve, daemon=True)
+                    _logger.event("group that stands still is looked at", group=name)
                     wait_s = self._settings.relief_interval_s
                     self._reliefs[name] = task, Deadline.after(self._clock, wait_s)
 
