--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -6,14 +6,6 @@
 class TargetChoice:
     """Chooses one of the least loaded targets.
 
-    Notes
-    -----
-    What peers have begun since their last news can't be seen.  With 39 entries that was
-    25 requests, and all entries sent theirs to the few targets that had looked idle:
-    a fourth of the streams waited behind full slots while two fifths of all slots were
-    free.  So loads that differ by less than what is unseen count as alike, and the
-    choice among as many targets as requests are unseen is left to chance.
-
     Parameters
     ----------
     settings : GatewaySettings
@@ -36,6 +28,14 @@
     group_of : callable
         Returns the name of the group of a target by its instance id, or None.  The
         ranks of a group run in lock-step, so that the load of one slows all.
+
+    Notes
+    -----
+    What peers have begun since their last news can't be seen.  With 39 entries that was
+    25 requests, and all entries sent theirs to the few targets that had looked idle:
+    a fourth of the streams waited behind full slots while two fifths of all slots were
+    free.  So loads that differ by less than what is unseen count as alike, and the
+    choice among as many targets as requests are unseen is left to chance.
     """
 
     __slots__ = (
@@ -147,7 +147,9 @@
         least = min(means.values(), default=0.0)
         unseen_count = self._loads.unseen_count()
         return {
-            group: least if mean <= least + unseen_count / slots[group] else mean
+            group: least
+            if mean <= least + unseen_count / max(1, slots[group])
+            else mean
             for group, mean in means.items()
         }
 
--- a/siskinthread/gateway/tests/test_target_choice.py
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -291,3 +291,13 @@
         parts.loads.started("b-1")
     parts.clock.advance(SETTINGS.stall_limit_s + 0.01)
     assert parts.choose() == "b-1"
+
+
+def test_listed_target_without_slots_breaks_nothing():
+    """Symptom: every request to a service ends with a closed connection.
+
+    Events: all ranks of a group are listed with 0 slots.
+    """
+    parts = Parts(entry("a-1", slots=0), entry("a-2", slots=0))
+    parts.choice.group_of = lambda instance_id: instance_id[0]
+    assert parts.choose() in ("a-1", "a-2")
