--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -27,6 +27,8 @@
 # The time in which all must serve again once everything is back.
 RECOVERY_S = 6.0
 JUDGED_END_S = 2.0
+# Longer than the time in which servers stop work for a caller that has left, 0.7 s.
+SETTLING_S = 1.0
 CALLERS_PER_GATEWAY = 5
 # Twice what a gateway needs at its peak, 22 MB.
 MEMORY_LIMIT_KB = 44_000
@@ -58,6 +60,8 @@
             await group.spawn(caller.run, ends_s)
     for task in background:
         await task.cancel()
+    # What servers do for callers that left at the very end must be over by then.
+    await curio.sleep(SETTLING_S)
     for server in system.servers:
         await system.note_runs(server)
     _check_processes(system, records)
