--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -166,7 +166,7 @@
         description="Requests for each slot of the targets that could take a request, "
         "from which on it is refused. Nearer to 1 each freed slot is seen by all "
         "entries at once: with 39 of them, ten sent to it within 0.2 s, and 428 "
-        "requests waited for 320 slots.",
+        "requests were at targets with 320 slots.",
     )
     away_load = Item(
         float,
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -32,10 +32,10 @@
     Notes
     -----
     What peers have begun since their last news can't be seen.  With 39 entries that was
-    25 requests, and all entries sent theirs to the few targets that had looked idle:
-    a fourth of the streams waited behind full slots while two fifths of all slots were
-    free.  So loads that differ by less than what is unseen count as alike, and the
-    choice among as many targets as requests are unseen is left to chance.
+    25 requests (reckoned), and all entries sent theirs to the few targets that had
+    looked idle: 27 of 100 streams were late or left while, as reckoned, two fifths of
+    the slots were free.  So loads that differ by less than what is unseen count as
+    alike, and the choice among as many targets as requests are unseen is left to chance.
     """
 
     __slots__ = (
