--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -35,7 +35,7 @@
     25 requests (reckoned), and all entries sent theirs to the few targets that had
     looked idle: 27 of 100 streams were late or left while, as reckoned, two fifths of
     the slots were free.  So loads that differ by less than what is unseen count as
-    alike, and the choice among as many targets as requests are unseen is left to chance.
+    alike, and the choice among as many targets as requests are unseen is chance.
     """
 
     __slots__ = (
