Choose the smallest change of a map that brings streams in time

And a change begun at once after another one was refused, since ranks were still armed. Change: the least change that brings passes within 0.8 of the permitted pause, another one follows; it begins after the pass with which the one before it comes into force.

--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -268,7 +268,9 @@
         shown_s = self._layout.report_lag_s + 2 * self._passes.pass_s
         self._own_change_shown = Deadline.after(self._clock, shown_s)
         if not is_short(even_pass_s * plan.time_after, self._layout, self._settings):
-            # One change could not do it all; the next look follows at once.
+            # One change could not do it all; the next look follows once its pass has
+            # begun, since ranks refuse to prepare while they are armed.
+            await curio.sleep(self._passes.pass_s)
             self._look_times.forget()
 
     def _even_pass_s(self):
--- a/siskinthread/group_maps/_pass_clock.py
+++ b/siskinthread/group_maps/_pass_clock.py
@@ -8,6 +8,9 @@
 # Events of one pass come a few milliseconds apart, over hosts at different distances.
 # Those within this part of a usual pass belong to the same one.
 SAME_PASS_SHARE = 0.4
+# Events that come closer are of the same pass, whatever is usual; half of the least
+# pass of an engine that serves a single request.
+SAME_PASS_S = 0.01
 # Weight of the newest pass in the usual time: a change shows within some five passes,
 # and a single long prompt does not pass for one.
 NEWEST_WEIGHT = 0.2
@@ -44,6 +47,8 @@
             self._began_s = now_s
             return
         pass_s = now_s - self._began_s
+        if pass_s < SAME_PASS_S:
+            return
         if self.usual_s is None:
             self.usual_s = pass_s
         if pass_s < self.usual_s * SAME_PASS_SHARE:
--- a/siskinthread/group_maps/_settings.py
+++ b/siskinthread/group_maps/_settings.py
@@ -47,6 +47,13 @@
         description="Part of the longest pass that is in time, below which passes "
         "count as short. A shift of the demand makes them about twice as long.",
     )
+    in_time_share = Item(
+        float,
+        default=0.8,
+        minimum=0.0,
+        description="Part of the longest pass that is in time, within which passes are "
+        "reckoned to be in time; prompts make them up to 1.15 of what is reckoned.",
+    )
     jump_ratio = Item(
         float,
         default=1.3,
--- a/siskinthread/group_maps/_sizing.py
+++ b/siskinthread/group_maps/_sizing.py
@@ -21,9 +21,9 @@
 
     Notes
     -----
-    The smallest change after which passes are short enough is the first to bring
-    streams in time.  If none is enough, the one that shortens passes most for each
-    second until it is in force; the next one goes on from there.
+    The smallest change after which streams are in time is the first to bring them
+    there; another one follows while passes are not short.  If none is enough, the one
+    that shortens passes most for each second until it is in force comes first.
     """
     if not plans:
         return None
@@ -33,8 +33,9 @@
     worthy = [plan for plan in plans if plan.gain >= settings.least_gain]
     if not worthy:
         return None
+    in_time_s = layout.pass_limit_s * settings.in_time_share
     for plan in worthy:
-        if is_short(even_pass_s * plan.time_after, layout, settings):
+        if even_pass_s * plan.time_after <= in_time_s:
             return plan
     return max(worthy, key=lambda plan: _gain_rate(plan, layout, settings))
 
