Take experts from hot and slow ranks

Cause: a slow rank holds its whole group back by its part of each expert. Plans only added replicas elsewhere, so that it went on doing its part: with a rank that took twelve times as long, passes were at five times an even one after six changes. Change: a step may also take an expert from the hottest rank, for nothing if others hold it, or move it.

--- a/siskinthread/group_maps/_planner.py
+++ b/siskinthread/group_maps/_planner.py
@@ -98,21 +98,39 @@
         if best.gain <= settings.least_step_gain:
             return is_any_taken
         best.search.take(best)
-        copies_left[best.rank] -= 1
+        if best.taker is not None:
+            copies_left[best.taker] -= 1
         is_any_taken = True
 
 
 class _Step:
-    """One more replica: expert, rank that gets it, and what it gives up for it."""
+    """One expert that is added to a rank, taken from one, or moved.
 
-    __slots__ = ("evicted", "expert", "gain", "rank", "search")
+    Parameters
+    ----------
+    search : _SetSearch
+        The set.
+    gain : float
+        By how much the norm of the ranks' times falls.
+    expert : int
+        The expert.
+    taker : int or None
+        Rank that copies it.
+    evicted : int or None
+        Expert that the taker gives up for it.
+    giver : int or None
+        Rank that gives it up.
+    """
 
-    def __init__(self, search, gain, expert=None, rank=None, evicted=None):
+    __slots__ = ("evicted", "expert", "gain", "giver", "search", "taker")
+
+    def __init__(self, search, gain, expert=None, taker=None, evicted=None, giver=None):
         self.search = search
         self.gain = gain
         self.expert = expert
-        self.rank = rank
+        self.taker = taker
         self.evicted = evicted
+        self.giver = giver
 
 
 class _SetSearch:
@@ -144,9 +162,12 @@
     def take(self, step):
         """Put a step into the map."""
         if step.evicted is not None:
-            self.ranks[step.rank].discard(step.evicted)
-        self.ranks[step.rank].add(step.expert)
-        self._added[step.rank] += 1
+            self.ranks[step.taker].discard(step.evicted)
+        if step.taker is not None:
+            self.ranks[step.taker].add(step.expert)
+            self._added[step.taker] += 1
+        if step.giver is not None:
+            self.ranks[step.giver].discard(step.expert)
         self._best = None
 
     def best_step(self, copies_left):
@@ -176,19 +197,30 @@
             reverse=True,
         )
         for expert in experts[:EXPERT_CANDIDATES]:
-            takers = [
-                rank
-                for rank in coolest
-                if allowed[rank] and expert not in self.ranks[rank]
-            ]
-            for rank in takers[:RANK_CANDIDATES]:
-                for evicted in self._evictions(rank, replicas):
-                    after = self._after(by_rank, replicas, expert, rank, evicted)
-                    gain = before - self._norm(after)
-                    if gain > best.gain:
-                        best = _Step(self, gain, expert, rank, evicted)
+            for step in self._steps(expert, hottest, coolest, allowed, replicas):
+                after = self._after(by_rank, replicas, step)
+                step.gain = before - self._norm(after)
+                if step.gain > best.gain:
+                    best = step
         return best
 
+    def _steps(self, expert, hottest, coolest, allowed, replicas):
+        """Yield the steps that may relieve the hottest rank of an expert.
+
+        A slow rank is relieved only by taking experts from it: what it shares with
+        others it still does its part of.  With a rank that took 12 times as long,
+        adding replicas alone left passes at 5 times an even one after six changes.
+        """
+        if replicas[expert] > 1:
+            yield _Step(self, 0.0, expert, giver=hottest)
+        takers = [
+            rank for rank in coolest if allowed[rank] and expert not in self.ranks[rank]
+        ]
+        for taker in takers[:RANK_CANDIDATES]:
+            for evicted in self._evictions(taker, replicas):
+                yield _Step(self, 0.0, expert, taker, evicted)
+                yield _Step(self, 0.0, expert, taker, evicted, hottest)
+
     def _evictions(self, rank, replicas):
         """Return what a rank may give up for one more expert; None for nothing."""
         held = self.ranks[rank]
@@ -198,20 +230,27 @@
         spare.sort(key=lambda expert: self._loads[expert])
         return spare[:EVICTION_CANDIDATES]
 
-    def _after(self, by_rank, replicas, expert, rank, evicted):
+    def _after(self, by_rank, replicas, step):
+        """Return the load of each rank after a step."""
         after = list(by_rank)
+        joining = set() if step.taker is None else {step.taker}
+        leaving = set() if step.giver is None else {step.giver}
+        self._share_anew(after, replicas, step.expert, joining, leaving)
+        if step.evicted is not None:
+            self._share_anew(after, replicas, step.evicted, set(), {step.taker})
+        return after
+
+    def _share_anew(self, loads, replicas, expert, joining, leaving):
+        """Change loads by ranks that begin or cease to hold an expert."""
         load, count = self._loads[expert], replicas[expert]
-        for holder, experts in enumerate(self.ranks):
+        new_share = load / (count + len(joining) - len(leaving))
+        for rank, experts in enumerate(self.ranks):
             if expert in experts:
-                after[holder] -= load / count - load / (count + 1)
-        after[rank] += load / (count + 1)
-        if evicted is not None:
-            load, count = self._loads[evicted], replicas[evicted]
-            for holder, experts in enumerate(self.ranks):
-                if evicted in experts:
-                    after[holder] += load / (count - 1) - load / count
-            after[rank] -= load / (count - 1)
-        return after
+                loads[rank] -= load / count
+                if rank not in leaving:
+                    loads[rank] += new_share
+        for rank in joining:
+            loads[rank] += new_share
 
     def _norm(self, by_rank):
         total = sum(
--- a/siskinthread/group_maps/tests/test_planner.py
+++ b/siskinthread/group_maps/tests/test_planner.py
@@ -97,3 +97,23 @@
     after = relative_pass_time(group_map.holdings, loads, share, slowness)
     assert before == 2.0
     assert after < 1.6
+
+
+def test_very_slow_rank_gives_its_experts_away():
+    """Symptom: passes of a whole group take ten times as long for seconds.
+
+    Events: one rank takes twelve times as long for the same work.  Cause: experts were
+    only added to other ranks, and the slow one still did its part of each.
+    """
+    slowness = [12.0, 1.0, 1.0, 1.0]
+    loads = [[1.0] * 16] * 2
+    group_map = first_map()
+    share = MODEL.expert_share
+    before = relative_pass_time(group_map.holdings, loads, share, slowness)
+    for version in range(1, 3):
+        plans = plan_changes(group_map, loads, slowness, LAYOUT, SETTINGS, version)
+        group_map = plans[-1].group_map
+    after = relative_pass_time(group_map.holdings, loads, share, slowness)
+    own_part = (1 - share) * slowness[0]
+    assert before == 12.0
+    assert after < own_part + 1.5 * share
