Remember ranks, demand and versions of a group through an outage

After a crash the next controller began without demand, and with versions below those that ranks had heard of: eight changes in a row were refused. Change: ranks that lapse are remembered for 15 s, unless a successor or another instance at the address is known; demand and versions outlive a controller; a refused change moves on by a whole step and waits 0.25 s. Calls to ranks name the instance they are meant for, so that a reused address can't take an order.

--- a/siskinthread/group_maps/__init__.py
+++ b/siskinthread/group_maps/__init__.py
@@ -21,6 +21,7 @@
 )
 from siskinthread.group_maps._look_times import LookCause, LookTimes
 from siskinthread.group_maps._measures import MapMeasures
+from siskinthread.group_maps._memory import GroupMemory
 from siskinthread.group_maps._orders import (
     Arm,
     ArmedMap,
@@ -52,6 +53,7 @@
     "GroupDuty",
     "GroupMap",
     "GroupMapSettings",
+    "GroupMemory",
     "GroupRanks",
     "HeldExperts",
     "Hold",
--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -9,7 +9,6 @@
     MapChange,
     planned_version,
 )
-from siskinthread.group_maps._demand import Demand
 from siskinthread.group_maps._layout import GroupMap
 from siskinthread.group_maps._look_times import LookCause, LookTimes
 from siskinthread.group_maps._passes import PassEstimate
@@ -40,6 +39,8 @@
         Shape of the maps.
     pass_clock : PassClock
         Passes as own streams show them.
+    memory : GroupMemory
+        What is known of the group already.
     settings : GroupMapSettings
         Times and limits.
     clock : siskinthread.timing.Clock
@@ -60,6 +61,7 @@
         "_look_times",
         "_map",
         "_measures",
+        "_memory",
         "_next_glance",
         "_own_change_shown",
         "_pass_clock",
@@ -69,11 +71,19 @@
         "_reports",
         "_settings",
         "_unsettled_since_s",
-        "_version_floor",
     )
 
     def __init__(
-        self, group_name, ranks, layout, pass_clock, settings, clock, measures, random
+        self,
+        group_name,
+        ranks,
+        layout,
+        pass_clock,
+        memory,
+        settings,
+        clock,
+        measures,
+        random,
     ):
         self._random = random
         self._group_name = group_name
@@ -84,7 +94,8 @@
         self._clock = clock
         self._measures = measures
         self._change = MapChange(ranks, layout, settings, clock)
-        self._demand = Demand(settings)
+        self._memory = memory
+        self._demand = memory.demand
         self._look_times = LookTimes(pass_clock, layout.pass_limit_s, settings, clock)
         self._epoch = None
         self._map = None
@@ -94,7 +105,6 @@
         self._own_change_shown = Deadline.after(clock, 0.0)
         self._unsettled_since_s = None
         self._passes = PassEstimate(clock)
-        self._version_floor = 0
 
     async def run(self):
         """Control the group until cancelled, which is harmless at any moment."""
@@ -205,6 +215,8 @@
         holdings = [[one.experts_by_set[i] for one in held] for i in range(set_count)]
         self._map = GroupMap(versions.pop(), holdings, self._layout.expert_count)
         self._epoch = epochs.pop()
+        # The map may be the first one again; what is known of the demand fits it anew.
+        self._look_times.forget()
         _logger.event(
             "map learnt",
             group=self._group_name,
@@ -260,9 +272,12 @@
         )
         self._measures.change_ended(result)
         # A version may have been heard of by some ranks; it must not be used again.
-        self._version_floor = version
+        self._memory.version_floor = version
         if result is not ChangeResult.IN_FORCE:
+            # Some rank may have heard of a higher version, from another controller.
+            self._memory.version_floor += VERSION_STEP
             await self._take_up(result)
+            await curio.sleep(self._settings.failure_wait_s)
             return
         self._map = plan.group_map
         shown_s = self._layout.report_lag_s + 2 * self._passes.pass_s
@@ -283,7 +298,7 @@
         Two controllers that plan at the same time must not give one version to two
         maps: ranks would take either for prepared, and a pass would mix them.
         """
-        known = max(self._version_floor, highest_version(self._reports))
+        known = max(self._memory.version_floor, highest_version(self._reports))
         return planned_version(known, self._random.randint(1, VERSION_STEP))
 
     async def _take_up(self, result):
@@ -294,6 +309,8 @@
                 if await self._change.finish_or_undo(self._map):
                     break
         reports = await self._ranks.reports()
-        self._version_floor = max(self._version_floor, highest_version(reports))
+        self._memory.version_floor = max(
+            self._memory.version_floor, highest_version(reports)
+        )
         # Whichever map it is now, it is read anew.
         self._epoch = None
--- a/siskinthread/group_maps/_directory.py
+++ b/siskinthread/group_maps/_directory.py
@@ -2,6 +2,7 @@
 
 from siskinthread.errors import TargetError
 from siskinthread.observability import part_logger
+from siskinthread.timing import Deadline
 
 _logger = part_logger("group_maps")
 
@@ -34,13 +35,34 @@
         Takes a target entry and returns its rank's client.
     settings : GroupMapSettings
         Waits.
+    clock : siskinthread.timing.Clock
+        Clock of the waits.
+
+    Notes
+    -----
+    A rank whose entry has lapsed is remembered for a while.  Its group forms anew with
+    the first map as soon as the rank is back, and its entry is listed again up to 3 s
+    later; nobody would look after the group meanwhile, while its passes take three
+    times as long.
     """
 
-    __slots__ = ("_build_client", "_clients", "_places", "_settings")
-
-    def __init__(self, build_client, settings):
+    __slots__ = (
+        "_addresses",
+        "_build_client",
+        "_clients",
+        "_clock",
+        "_lost",
+        "_places",
+        "_settings",
+    )
+
+    def __init__(self, build_client, settings, clock):
         self._build_client = build_client
         self._settings = settings
+        self._clock = clock
+        self._addresses = {}
+        # Until when ranks that are not listed any more are remembered.
+        self._lost = {}
         self._places = {}
         self._clients = {}
 
@@ -58,18 +80,42 @@
             Whether there are any, and the place of each is known.
         """
         known = {entry.instance_id for entry in entries}
-        for instance_id in set(self._clients) - known:
-            del self._clients[instance_id]
-            self._places.pop(instance_id, None)
+        self._note_lost(known)
+        self._forget_replaced(entries)
         for entry in entries:
             if entry.instance_id not in self._places:
                 await self._ask(entry)
-        return bool(entries) and len(self._places) == len(known)
+        return bool(entries) and known <= set(self._places)
+
+    def _note_lost(self, known):
+        for instance_id in known & set(self._lost):
+            del self._lost[instance_id]
+        for instance_id in set(self._clients) - known:
+            if instance_id not in self._lost:
+                wait_s = self._settings.lost_rank_memory_s
+                self._lost[instance_id] = Deadline.after(self._clock, wait_s)
+            if instance_id not in self._places or self._lost[instance_id].passed():
+                self._forget(instance_id)
+
+    def _forget_replaced(self, entries):
+        """Forget lost ranks whose address belongs to another instance by now."""
+        holders = {(entry.host, entry.port): entry.instance_id for entry in entries}
+        for instance_id in list(self._lost):
+            holder = holders.get(self._addresses.get(instance_id), instance_id)
+            if holder != instance_id:
+                self._forget(instance_id)
+
+    def _forget(self, instance_id):
+        self._addresses.pop(instance_id, None)
+        self._clients.pop(instance_id, None)
+        self._places.pop(instance_id, None)
+        self._lost.pop(instance_id, None)
 
     async def _ask(self, entry):
         client = self._clients.get(entry.instance_id)
         if client is None:
             client = self._clients[entry.instance_id] = self._build_client(entry)
+            self._addresses[entry.instance_id] = (entry.host, entry.port)
         try:
             report = await client.report(self._settings.order_wait_s)
         except TargetError as error:
@@ -77,9 +123,12 @@
                 "rank is not known", target=entry.instance_id, reason=str(error)
             )
             return
-        self._places[entry.instance_id] = RankPlace(
-            report.group_name, report.rank, report.size
-        )
+        place = RankPlace(report.group_name, report.rank, report.size)
+        for instance_id in list(self._lost):
+            other = self._places[instance_id]
+            if (other.group_name, other.rank) == (place.group_name, place.rank):
+                self._forget(instance_id)
+        self._places[entry.instance_id] = place
 
     def group_of(self, instance_id):
         """Return the name of a target's group, or None."""
--- a/siskinthread/group_maps/_duty.py
+++ b/siskinthread/group_maps/_duty.py
@@ -6,6 +6,7 @@
 
 from siskinthread.errors import PlatformUnavailableError
 from siskinthread.group_maps._controller import GroupController
+from siskinthread.group_maps._memory import GroupMemory
 from siskinthread.group_maps._ranks import GroupRanks
 from siskinthread.observability import part_logger
 from siskinthread.timing import Deadline
@@ -56,6 +57,7 @@
         "_find_layout",
         "_held",
         "_measures",
+        "_memories",
         "_progress",
         "_random",
         "_reliefs",
@@ -83,6 +85,8 @@
         self._clock = clock
         self._measures = measures
         self._controllers = {}
+        # By group; they outlive the controllers.
+        self._memories = {}
         # Tasks that relieve groups which others control, and until when no other one
         # is begun, by group.
         self._reliefs = {}
@@ -161,6 +165,7 @@
             ranks,
             layout,
             self._progress.pass_clock(name),
+            self._memories.setdefault(name, GroupMemory(self._settings)),
             self._settings,
             self._clock,
             self._measures,
--- a/siskinthread/group_maps/_settings.py
+++ b/siskinthread/group_maps/_settings.py
@@ -174,9 +174,18 @@
     )
     failure_wait_s = Item(
         float,
-        default=0.5,
+        default=0.25,
+        minimum=0.0,
+        description="Wait after a look or a change that failed, and so the time until "
+        "a group that has formed anew is looked at.",
+    )
+    lost_rank_memory_s = Item(
+        float,
+        default=15.0,
         minimum=0.0,
-        description="Wait after a look or a change that failed.",
+        description="How long a rank that is not listed any more is remembered. "
+        "Failure domains are cut off for some seconds; addresses that are used again "
+        "answer that another instance listens there.",
     )
     renew_interval_s = Item(
         float,
--- a/siskinthread/platform/_group_control.py
+++ b/siskinthread/platform/_group_control.py
@@ -38,7 +38,7 @@
         self._rank_calls = metrics.counter(
             "platform_rank_calls", "Calls to ranks of model groups.", ("call",)
         )
-        self._directory = GroupDirectory(self._build_client, settings)
+        self._directory = GroupDirectory(self._build_client, settings, SYSTEM_CLOCK)
         gateway.parts.choice.group_of = self._directory.group_of
         shares = StoreShares(
             store,
--- a/siskinthread/platform/_rank_client.py
+++ b/siskinthread/platform/_rank_client.py
@@ -16,6 +16,8 @@
     RankReport,
     Release,
 )
+from siskinthread.observability import part_logger
+from siskinthread.platform._wire import EXPECTED_INSTANCE
 from siskinthread.settings import Address
 from siskinthread.shared_services import HttpClient
 
@@ -23,6 +25,8 @@
 COUNTS_PATH = "/siskinthread/picked"
 LISTS_PATH = "/siskinthread/picked?lists=1"
 ORDER_PATH = "/siskinthread/order"
+_logger = part_logger("platform")
+
 JSON_HEADER = ("content-type", "application/json")
 TAKEN_STATUSES = (200, 202)
 STATUS_OK = 200
@@ -43,11 +47,14 @@
         Counts calls by ``call``; each of them is paid for.
     """
 
-    __slots__ = ("_call_count", "_http", "_layout")
+    __slots__ = ("_call_count", "_expectation", "_http", "_layout")
 
     def __init__(self, entry, layout, call_count):
         address = Address(entry.host, entry.port)
         self._http = HttpClient("rank", address, None)
+        # The address of a server that is gone may belong to a rank of another group,
+        # which would take the order for its own.
+        self._expectation = (EXPECTED_INSTANCE, entry.instance_id)
         self._layout = layout
         self._call_count = call_count
 
@@ -76,20 +83,27 @@
         self._call_count.labels("order").inc()
         try:
             answer = await self._http.call(
-                "POST", ORDER_PATH, body, [JSON_HEADER], wait_s
+                "POST", ORDER_PATH, body, [JSON_HEADER, self._expectation], wait_s
             )
         except PlatformUnavailableError:
             return OrderResult.UNKNOWN
         if answer.status in TAKEN_STATUSES:
             return OrderResult.TAKEN
         if answer.status in REFUSED_STATUSES:
+            _logger.event(
+                "order refused",
+                target=self._expectation[1],
+                order=type(order).__name__,
+                status=answer.status,
+            )
             return OrderResult.REFUSED
         return OrderResult.UNKNOWN
 
     async def _get(self, path, wait_s):
         self._call_count.labels(path.partition("?")[0].rpartition("/")[2]).inc()
         try:
-            answer = await self._http.call("GET", path, b"", [], wait_s)
+            headers = [self._expectation]
+            answer = await self._http.call("GET", path, b"", headers, wait_s)
         except PlatformUnavailableError as error:
             raise TargetError(str(error)) from error
         if answer.status != STATUS_OK:
