--- a/siskinthread/group_maps/_change.py
+++ b/siskinthread/group_maps/_change.py
@@ -2,10 +2,12 @@
 
 The order of events, for the change to a map with version V:
 
-1. ``Prepare`` on every rank, until each reports V as prepared.  Nothing depends on it.
-2. ``Hold`` of a pass P some way ahead on rank 0.  From its confirmation on, the group
-   does not begin P without ``Release``.
-3. ``Arm`` of V at P on every rank, until all have confirmed.
+1. ``Prepare`` on every rank, until each has taken it; then the time that the slowest
+   rank needs to copy.  Nothing depends on it.
+2. ``Hold`` of the next pass P on rank 0.  From its confirmation on, the group does not
+   begin P without ``Release``.
+3. ``Arm`` of V at P on every rank, until all have confirmed.  A rank that still copies
+   refuses and is asked again.
 4. ``Release`` of P, normally before the group gets there, so that it never stands.
 
 Two facts keep every pass unmixed, whatever is lost, late, or done by two controllers.
@@ -14,7 +16,8 @@
 all armed stay so until P begins: `finish_or_undo` disarms only if some rank is not
 armed and can't be.  Orders that are carried out late change nothing: an arm or a hold
 for a pass that has begun is refused, a prepare with a version that is not the highest
-is too, and versions are not used twice.
+is too, and versions are not used twice: plans have even ones, and maps that only rule
+out late orders have odd ones.
 """
 
 import enum
