Divide the budget of repeats among all entries

Cause: each entry had a floor of 6 repeats in 10 s, reckoned for twelve entries, and one budget for all services. The log shows where they come from: while a domain is cut, the one group of ranks declines (its failed rank is named), the group is passed over, and with no other group left the request went to a second rank of the same one.

Ruled out: a wrong count of the window alone (it could add a tenth; counted exactly now).

Change: the platform's own bounds are read from the host's settings; the share applies to own requests of each service, the floor is divided by the most entries ever known, none while the others are not known yet. A group that has just declined gets neither a second try nor a first one until it is passed over no more: the caller is told at once when to come back.

--- a/siskinthread/admission/tests/test_admission.py
+++ b/siskinthread/admission/tests/test_admission.py
@@ -269,7 +269,7 @@
         elif budget.try_spend():
             retries.append(now_s)
             recent_count = sum(1 for at_s in requests if at_s > now_s - 10.0)
-            retry_count = sum(1 for at_s in retries if at_s > now_s - 9.0)
+            retry_count = sum(1 for at_s in retries if at_s > now_s - 10.0)
             assert retry_count <= 3 + 0.1 * recent_count
 
 
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -55,7 +55,7 @@
             What became of it.  If the reply has begun and not ended, the connection
             must be closed, which shows the caller that the answer is not whole.
         """
-        self._parts.budget.note_request()
+        self._parts.budgets.note_request(self._request.service_name)
         while True:
             chosen = self._parts.choice.choose(self._request, self._tried_ids)
             if isinstance(chosen, End):
@@ -110,7 +110,10 @@
             return False
         if self._sent_count >= self._request.route.attempt_limit:
             return False
-        return self._parts.budget.try_spend()
+        if not self._parts.budgets.try_spend(self._request.service_name):
+            attempt.reason += "; the budget of repeats is spent"
+            return False
+        return True
 
     async def _answer(self, attempt):
         if attempt.answer is not None:
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -222,6 +222,7 @@
         self._target_follower.peers = peers
         self.parts.loads.peers = peers
         self.parts.progress.peers = peers
+        self.parts.retry_part.peers = peers
         self._peers = peers
         self._snapshot_follower = SnapshotFollower(
             fetch_snapshot,
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -6,7 +6,7 @@
 from siskinthread.gateway._target_list import TargetList
 from siskinthread.gateway._target_loads import TargetLoads
 from siskinthread.gateway._target_pool import TargetPool
-from siskinthread.retry_budget import RetryBudget
+from siskinthread.retry_budget import FleetPart, ServiceRetryBudgets
 
 
 class Measures:
@@ -65,7 +65,7 @@
     """
 
     __slots__ = (
-        "budget",
+        "budgets",
         "choice",
         "clock",
         "health",
@@ -74,6 +74,7 @@
         "pool",
         "progress",
         "random",
+        "retry_part",
         "settings",
         "targets",
         "wire",
@@ -85,7 +86,8 @@
         self.clock = clock
         self.random = random
         self.measures = Measures(metrics)
-        self.budget = RetryBudget(settings, clock)
+        self.retry_part = FleetPart(settings)
+        self.budgets = ServiceRetryBudgets(self.retry_part, clock)
         self.targets = TargetList(settings, clock)
         self.loads = TargetLoads(settings, clock)
         self.health = TargetHealth(settings, clock)
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -188,21 +188,29 @@
         float,
         default=10.0,
         minimum=0.1,
-        description="Window of the budget of repeats.",
+        description="Window of the budget of repeats, unless the host's settings state "
+        "another one.",
     )
     retry_share = Item(
         float,
-        default=0.15,
+        default=0.2,
         minimum=0.0,
-        description="Repeats for each request in the window; three quarters of the 0.2 "
-        "that all entries together may make.",
+        description="Repeats for each request in the window that all entries together "
+        "may make, unless the host's settings state another one.",
     )
     retry_floor_count = Item(
         int,
-        default=6,
+        default=88,
         minimum=0,
-        description="Repeats in the window beside the share. Twelve entries together "
-        "stay under the 90 that the smallest deployment allows.",
+        description="Repeats in the window beside the share, of all entries together, "
+        "unless the host's settings state another number. That of the smallest fleet.",
+    )
+    retry_margin = Item(
+        float,
+        default=0.75,
+        minimum=0.0,
+        description="Part of the budget of repeats that is used. The rest is for "
+        "entries that were not known to others when they divided it.",
     )
     ejection_s = Item(
         float,
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -87,8 +87,13 @@
             for entry in trusted
             if self.group_of(entry.instance_id) not in tried_groups
         ]
-        # If all of them fail, one of them is still a better try than none.
-        candidates = apart or trusted or fresh
+        candidates = apart or trusted
+        if not candidates and not tried_ids:
+            # If all of them fail, one of them is still a better try than none.
+            candidates = [entry for entry in fresh if not self._declines(entry)]
+        if not candidates:
+            message = f"All {len(serving)} targets fail or decline requests."
+            return self._refusal(Reason.NO_TARGET, request, message)
         if self._loads.are_peers_crowded():
             chosen = self._choose_in_crowd(candidates)
         else:
@@ -131,6 +136,14 @@
             self._health.is_group_passed_over(group) or self._progress.is_stalled(group)
         )
 
+    def _declines(self, entry):
+        """Return whether a target's whole group has just declined requests.
+
+        Until its failed rank is back, each of its ranks declines at once.  A second try
+        there was worth nothing and took 148 of 110 repeats that were allowed.
+        """
+        return self._health.is_group_passed_over(self.group_of(entry.instance_id))
+
     def _group_loads(self, serving):
         """Return the mean load of the targets of each group.
 
--- a/siskinthread/gateway/tests/test_target_choice.py
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -301,3 +301,30 @@
     parts = Parts(entry("a-1", slots=0), entry("a-2", slots=0))
     parts.choice.group_of = lambda instance_id: instance_id[0]
     assert parts.choose() in ("a-1", "a-2")
+
+
+def test_group_that_has_just_declined_is_not_asked_again():
+    """Symptom: a service gets more repeats than it may, and none is served.
+
+    Events: a rank is cut off, so that all ranks of the only group decline.  Cause: a
+    request that one of them had declined was sent to the next one, and the next
+    request to both again.
+    """
+    parts = Parts(entry("a-1"), entry("a-2"), entry("a-3"))
+    parts.choice.group_of = lambda instance_id: instance_id[0]
+    first = parts.choose()
+    assert first in ("a-1", "a-2", "a-3")
+    parts.health.group_failed("a")
+    second = parts.choose(tried=[first])
+    assert second.outcome is Outcome.REFUSED_NOT_RUN
+    assert second.retry_after_s > 0
+    assert parts.choose().outcome is Outcome.REFUSED_NOT_RUN
+    parts.clock.advance(SETTINGS.group_ejection_s)
+    assert parts.choose() in ("a-1", "a-2", "a-3")
+
+
+def test_failing_target_is_tried_if_there_is_no_other():
+    """All targets of a service fail: one of them may be back, and nobody else tells."""
+    parts = Parts(entry("i-1"))
+    parts.health.failed("i-1", "reset")
+    assert parts.choose() == "i-1"
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -61,10 +61,12 @@
         "_failure_domain",
         "_first_peers",
         "_last_sent",
+        "_most_peers",
         "_peers",
         "_quiet_deadline",
         "_random",
         "_settings",
+        "_settled",
         "_socket",
         "describe",
         "take_listing",
@@ -78,6 +80,8 @@
         self._clock = clock
         self._random = random
         self._peers = {}
+        self._most_peers = 0
+        self._settled = Deadline.after(clock, settings.fleet_settle_s)
         self._socket = None
         self._last_sent = None
         self._quiet_deadline = Deadline.after(clock, 0.0)
@@ -112,6 +116,20 @@
             return len(self._domain_news())
         return len(self._peers)
 
+    def fleet_count(self):
+        """Return the most entries that were known at once, this one among them.
+
+        Returns
+        -------
+        int or None
+            None while there may be more than are known: the settings name some, and
+            none has been heard of, or this process has just started.
+        """
+        is_known = self._most_peers and self._settled.passed()
+        if self._first_peers and not is_known:
+            return None
+        return 1 + self._most_peers
+
     def told_interval_s(self):
         """Return the time between two news of a near peer whose loads change."""
         settings = self._settings
@@ -208,6 +226,7 @@
     def _add(self, address):
         known = Deadline.after(self._clock, self._settings.forget_after_s)
         peer = self._peers[address] = _Peer(known)
+        self._most_peers = max(self._most_peers, len(self._peers))
         _logger.event("peer known", peer=str(address))
         return peer
 
--- a/siskinthread/peer_news/_settings.py
+++ b/siskinthread/peer_news/_settings.py
@@ -43,6 +43,13 @@
         description="Silence after which a peer is not told any more; longer than the "
         "longest usual cut of a failure domain.",
     )
+    fleet_settle_s = Item(
+        float,
+        default=3.0,
+        minimum=0.0,
+        description="Time from the start after which a host has heard of all others. "
+        "Each tells all that it knows of itself once a second, and names some others.",
+    )
     peers_told_count = Item(
         int,
         default=8,
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -188,3 +188,28 @@
         return sent
 
     assert curio.run(main) == [sorted(others), near]
+
+
+def test_fleet_is_as_large_as_it_ever_was():
+    """Symptom: entries behind a cut take parts of a shared limit that are others'.
+
+    Events: an entry has heard of three others; two of them fall silent and are
+    forgotten.  Cause: limits were divided by the number that is known at the moment.
+    """
+    clock = ManualClock()
+    here, *others = [Address("127.0.0.1", port) for port in range(1, 5)]
+    news = build(here, others[:1], None, clock=clock)
+    assert news.fleet_count() is None
+    clock.advance(SETTINGS.fleet_settle_s)
+    assert news.fleet_count() is None
+    news._take(News(others[0], "a", HostState(5, True, {}), others))
+    assert news.fleet_count() == 4
+    clock.advance(SETTINGS.forget_after_s)
+    news._forget_silent()
+    assert news.fleet_count() == 4
+
+
+def test_entry_that_is_the_only_one_needs_no_news():
+    """Without others in the settings, an entry has all limits from its start."""
+    here = Address("127.0.0.1", 1)
+    assert build(here, [here], None).fleet_count() == 1
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -77,7 +77,7 @@
         self._tables = PublishedTables(store)
         self._targets = ListedTargets(store)
         self._gateway = Gateway(
-            tuning.gateway,
+            tuning.gateway.with_values(**settings.retry_limits),
             settings.failure_domain,
             PlatformWire(),
             self._tables,
--- a/siskinthread/platform/_host_settings.py
+++ b/siskinthread/platform/_host_settings.py
@@ -31,6 +31,8 @@
         Partitions of each topic of the store.
     stop_limit_s : float
         Time from SIGTERM until the process is killed, seconds.
+    retry_limits : dict of str to float
+        Those settings of the gateway on the budget of repeats that the platform states.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "first_peers",
         "host",
         "peer_address",
+        "retry_limits",
         "share_count",
         "status_listen",
         "stop_limit_s",
@@ -56,6 +59,7 @@
         store,
         share_count,
         stop_limit_s,
+        retry_limits,
     ):
         self.host = host
         self.failure_domain = failure_domain
@@ -66,6 +70,7 @@
         self.store = store
         self.share_count = share_count
         self.stop_limit_s = stop_limit_s
+        self.retry_limits = retry_limits
 
 
 def read_host_settings(text, source_name):
@@ -103,12 +108,26 @@
         store=reading.address("platform.address"),
         share_count=reading.value("platform.parts", int),
         stop_limit_s=reading.value("bounds.grace_s", int, float),
+        retry_limits=_read_retry_limits(reading),
     )
     if reading.problems:
         raise SettingsError(reading.problems)
     return settings
 
 
+def _read_retry_limits(reading):
+    names = {
+        "retry_share": "bounds.retry_ratio",
+        "retry_floor_count": "bounds.retry_slack",
+        "retry_window_s": "bounds.retry_window_s",
+    }
+    limits = {
+        name: reading.value(theirs, int, float, required=False)
+        for name, theirs in names.items()
+    }
+    return {name: value for name, value in limits.items() if value is not None}
+
+
 class _Reading:
     """Reads values by dotted names and collects every problem."""
 
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -106,6 +106,10 @@
     async def tell_domain(self):
         """Tell nobody."""
 
+    def fleet_count(self):
+        """Tell of no other entry."""
+        return 1
+
     def stalled_groups(self):
         """Tell of no group that stands still."""
         return set()
--- a/siskinthread/retry_budget/_retry_budget.py
+++ b/siskinthread/retry_budget/_retry_budget.py
@@ -24,12 +24,15 @@
     has gone; one would notice more attempts than requests.
     """
 
-    __slots__ = ("_clock", "_settings", "_slots")
+    __slots__ = ("_clock", "_retry_expiries", "_settings", "_slots")
 
     def __init__(self, settings, clock):
         self._settings = settings
         self._clock = clock
         self._slots = collections.deque()
+        # Until when each retry counts.  Counted by slots, a whole budget could be spent
+        # twice within a window and a slot.
+        self._retry_expiries = collections.deque()
 
     def note_request(self):
         """Count a first attempt."""
@@ -43,31 +46,40 @@
         bool
             Whether the retry may be made.
         """
-        newest = self._newest_slot()
+        self._drop_old()
         request_count = sum(slot.request_count for slot in self._slots)
-        retry_count = sum(slot.retry_count for slot in self._slots)
         settings = self._settings
         limit = settings.retry_floor_count + settings.retry_share * request_count
-        if retry_count + 1 > limit:
+        if len(self._retry_expiries) + 1 > limit:
             return False
-        newest.retry_count += 1
+        expiry = Deadline.after(self._clock, settings.retry_window_s)
+        self._retry_expiries.append(expiry)
         return True
 
-    def _newest_slot(self):
+    def is_idle(self):
+        """Return whether there was neither a request nor a retry in the window."""
+        self._drop_old()
+        return not self._slots and not self._retry_expiries
+
+    def _drop_old(self):
         while self._slots and self._slots[0].expiry.passed():
             self._slots.popleft()
+        while self._retry_expiries and self._retry_expiries[0].passed():
+            self._retry_expiries.popleft()
+
+    def _newest_slot(self):
+        self._drop_old()
         if not self._slots or self._slots[-1].closing.passed():
             self._slots.append(_Slot(self._clock, self._settings.retry_window_s))
         return self._slots[-1]
 
 
 class _Slot:
-    """Counts of a tenth of the window."""
+    """Requests of a tenth of the window."""
 
-    __slots__ = ("closing", "expiry", "request_count", "retry_count")
+    __slots__ = ("closing", "expiry", "request_count")
 
     def __init__(self, clock, window_s):
         self.closing = Deadline.after(clock, window_s / SLOTS_PER_WINDOW)
         self.expiry = Deadline.after(clock, window_s)
         self.request_count = 0
-        self.retry_count = 0
--- a/siskinthread/settings/_items.py
+++ b/siskinthread/settings/_items.py
@@ -84,6 +84,10 @@
         if missing:
             raise TypeError(f"missing settings: {', '.join(missing)}")
 
+    def with_values(self, **values):
+        """Return a copy of the section in which some settings have other values."""
+        return type(self)(**(self.values | values))
+
     @classmethod
     def items(cls):
         """Return the items of the section in the order of their declaration."""
