Tie what is known of a target to its start, and read entries strictly

Cause: a server may start again under its id; nothing read 'born', so a tombstone, its failures, loads and its group's epoch would have been those of the earlier start. And entries of other writers counted: an unknown state as serving, a missing slots as 1, true as one slot; one unreadable record failed the read of the whole list, and each unreadable one was logged at each read.

Change: the adapter makes id and start one instance id, which is what everything is kept by already; the listed id stays for the store's keys, the digest and the header that names the instance. A late report of an earlier start does not displace the later one. Counts and maps of ranks are of one start. Entries must have each field in its form; a record that does not names no target, also where it overwrites one, with one log line a reason; deep nesting and bytes are refused record by record.

Tests: each fails on the code before (missing and wrong fields, property test over any value, foreign bytes beside good records, return under an id, counts across starts).

--- a/scripts/_platform_files.py
+++ b/scripts/_platform_files.py
@@ -96,8 +96,10 @@
         "service": SERVICE,
         "address": f"{address[0]}:{address[1]}",
         "zone": domain,
+        "version": "v1",
         "slots": 6,
         "state": state,
+        "cold_remaining_ms": 0,
         "sequence": sequence,
     }
 
--- a/siskinthread/gateway/_list_digest.py
+++ b/siskinthread/gateway/_list_digest.py
@@ -33,12 +33,12 @@
     def put(self, entry):
         """Take an entry in, or its newer state."""
         part = _digest_entry(entry)
-        self.value ^= part ^ self._parts.get(entry.instance_id, 0)
-        self._parts[entry.instance_id] = part
+        self.value ^= part ^ self._parts.get(entry.listed_id, 0)
+        self._parts[entry.listed_id] = part
 
-    def remove(self, instance_id):
+    def remove(self, listed_id):
         """Take an entry out."""
-        self.value ^= self._parts.pop(instance_id, 0)
+        self.value ^= self._parts.pop(listed_id, 0)
 
 
 def _digest_entry(entry):
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -158,8 +158,8 @@
         changes, self._position = await self._source.read_changes(self._position)
         for change in changes:
             if change.entry is None:
-                self._digest.remove(change.instance_id)
-                self._targets.vanish(change.instance_id)
+                self._digest.remove(change.listed_id)
+                self._targets.vanish(change.listed_id)
             else:
                 self._digest.put(change.entry)
                 self._targets.put(change.entry)
@@ -170,14 +170,14 @@
 
     Parameters
     ----------
-    instance_id : str
-        The target.
+    listed_id : str
+        Id that the target is listed under.
     entry : TargetEntry or None
         Its new entry; None if it is not listed any more.
     """
 
-    __slots__ = ("entry", "instance_id")
+    __slots__ = ("entry", "listed_id")
 
-    def __init__(self, instance_id, entry):
-        self.instance_id = instance_id
+    def __init__(self, listed_id, entry):
+        self.listed_id = listed_id
         self.entry = entry
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -12,7 +12,8 @@
     Parameters
     ----------
     instance_id : str
-        Changes with each start of the target.
+        Changes with each start of the target, so that nothing that is known of one
+        start is believed of the next.
     service_name : str
         Service that it belongs to.
     host, port : str, int
@@ -23,6 +24,9 @@
         Requests that it runs at once.
     is_leaving : bool
         Whether it must get no new requests.
+    listed_id : str or None
+        Id that it is listed under, which it may have had before it started anew; None
+        if that is the `instance_id`.
     """
 
     __slots__ = (
@@ -30,6 +34,7 @@
         "host",
         "instance_id",
         "is_leaving",
+        "listed_id",
         "port",
         "service_name",
         "slot_count",
@@ -44,6 +49,7 @@
         failure_domain,
         slot_count,
         is_leaving,
+        listed_id=None,
     ):
         self.instance_id = instance_id
         self.service_name = service_name
@@ -52,6 +58,7 @@
         self.failure_domain = failure_domain
         self.slot_count = slot_count
         self.is_leaving = is_leaving
+        self.listed_id = instance_id if listed_id is None else listed_id
 
 
 class TargetList:
@@ -78,7 +85,9 @@
         "_grace",
         "_lapsed",
         "_left",
+        "_listed",
         "_listeners",
+        "_replaced",
         "_settings",
     )
 
@@ -86,10 +95,15 @@
         self._settings = settings
         self._clock = clock
         self._entries = {}
+        # The instance that each listed id stands for.
+        self._listed = {}
         # Ids of entries that vanished, and still count until the grace ends.
         self._lapsed = set()
         # Ids that announced their leaving; a late report must not bring them back.
         self._left = set()
+        # Instances whose targets have started anew; a late report of an earlier start
+        # must not displace the later one.
+        self._replaced = set()
         self._grace = Deadline.after(clock, 0.0)
         self._listeners = []
 
@@ -103,6 +117,9 @@
 
     def put(self, entry):
         """Take an entry in, or its newer state."""
+        if entry.instance_id in self._replaced:
+            return
+        self._note_restart(entry)
         known = self._entries.get(entry.instance_id)
         self._lapsed.discard(entry.instance_id)
         if entry.instance_id in self._left:
@@ -110,6 +127,7 @@
         if entry.is_leaving:
             self._left.add(entry.instance_id)
         self._entries[entry.instance_id] = entry
+        self._listed[entry.listed_id] = entry.instance_id
         if known is None:
             _logger.event(
                 "target listed",
@@ -123,8 +141,9 @@
             _logger.event("target leaves", target=entry.instance_id, told_by="list")
             self._tell(entry)
 
-    def vanish(self, instance_id):
+    def vanish(self, listed_id):
         """Note that an entry is not listed any more."""
+        instance_id = self._listed.get(listed_id)
         entry = self._entries.get(instance_id)
         if entry is None or instance_id in self._lapsed:
             return
@@ -153,11 +172,13 @@
         for entry in entries:
             present.add(entry.instance_id)
             self.put(entry)
-        for instance_id in list(self._entries):
-            if instance_id not in present and is_sure:
-                self._remove(self._entries[instance_id])
-            elif instance_id not in present:
-                self.vanish(instance_id)
+        for entry in self.entries():
+            if entry.instance_id in present:
+                continue
+            if is_sure:
+                self._remove(entry)
+            else:
+                self.vanish(entry.listed_id)
 
     def note_leaving(self, instance_id, told_by):
         """Note that a target itself has said that it leaves.
@@ -197,8 +218,19 @@
         """Return all entries."""
         return list(self._entries.values())
 
+    def _note_restart(self, entry):
+        """Remove the instance that an entry's target was before it started anew."""
+        earlier_id = self._listed.get(entry.listed_id, entry.instance_id)
+        if earlier_id != entry.instance_id and earlier_id in self._entries:
+            _logger.event(
+                "target started anew", target=entry.instance_id, earlier=earlier_id
+            )
+            self._replaced.add(earlier_id)
+            self._remove(self._entries[earlier_id])
+
     def _remove(self, entry):
         del self._entries[entry.instance_id]
+        self._listed.pop(entry.listed_id, None)
         self._lapsed.discard(entry.instance_id)
         _logger.event("target gone", target=entry.instance_id, told_by="list")
         if not entry.is_leaving:
--- a/siskinthread/gateway/tests/test_target_following.py
+++ b/siskinthread/gateway/tests/test_target_following.py
@@ -31,7 +31,7 @@
     async def read_changes(self, position):
         """Return every entry as changed."""
         self._count()
-        changes = [TargetChange(one.instance_id, one) for one in self._entries()]
+        changes = [TargetChange(one.listed_id, one) for one in self._entries()]
         return changes, self.position
 
     def _entries(self):
--- a/siskinthread/gateway/tests/test_target_list.py
+++ b/siskinthread/gateway/tests/test_target_list.py
@@ -90,3 +90,39 @@
     parts.targets.vanish("i-1")
     assert not parts.health.is_passed_over("i-1")
     assert parts.loads.total("i-1") == 0
+
+
+def test_target_that_starts_anew_under_its_id_serves_again():
+    """Symptom: a server that is back under its id gets no request, or an old one does.
+
+    Events: a target announces its leaving, starts anew under the same id, and a late
+    report of its first start is read.  Cause: what was known was kept by the id alone.
+    """
+    targets, _ = build()
+    first = entry("i-1@1", listed_id="i-1")
+    targets.replace([first, entry("i-2")])
+    targets.put(entry("i-1@1", is_leaving=True, listed_id="i-1"))
+    assert ids(targets.serving("app")) == ["i-2"]
+    targets.put(entry("i-1@2", listed_id="i-1"))
+    assert sorted(ids(targets.serving("app"))) == ["i-1@2", "i-2"]
+    targets.put(first)
+    assert sorted(ids(targets.serving("app"))) == ["i-1@2", "i-2"]
+    targets.vanish("i-1")
+    assert ids(targets.serving("app")) == ["i-2"]
+
+
+def test_what_is_known_of_a_target_ends_with_its_start():
+    """Symptom: a server that has just started is passed over.
+
+    Events: requests to a target fail, and it starts anew under its id.
+    """
+    now = clock()
+    metrics = Metrics()
+    parts = GatewayParts(SETTINGS, "a", None, now, metrics, random.Random(1))
+    parts.targets.put(entry("i-1@1", listed_id="i-1"))
+    parts.loads.report("i-1@1", LoadReport(5, 0, 6))
+    parts.health.failed("i-1@1", "reset")
+    parts.targets.put(entry("i-1@2", listed_id="i-1"))
+    assert not parts.health.is_passed_over("i-1@2")
+    assert parts.loads.total("i-1@2") == 0
+    assert not parts.health.is_passed_over("i-1@1")
--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -70,6 +70,7 @@
         "_ranks",
         "_reports",
         "_settings",
+        "_starts_unix_ms",
         "_unsettled_since_s",
     )
 
@@ -104,6 +105,8 @@
         # By when reports show this controller's own last change.
         self._own_change_shown = Deadline.after(clock, 0.0)
         self._unsettled_since_s = None
+        # Starts of the ranks whose map is known.
+        self._starts_unix_ms = None
         self._passes = PassEstimate(clock)
 
     async def run(self):
@@ -182,10 +185,17 @@
             self._epoch = None
             return False
         self._passes.note(report.pass_number, self._layout.report_lag_s)
-        if report.epoch != self._epoch or (
-            report.map_version > self._map.version and self._own_change_shown.passed()
+        starts_unix_ms = [one.started_unix_ms for one in reports]
+        if (
+            report.epoch != self._epoch
+            or starts_unix_ms != self._starts_unix_ms
+            or (
+                report.map_version > self._map.version
+                and self._own_change_shown.passed()
+            )
         ):
             await self._read_map()
+            self._starts_unix_ms = starts_unix_ms
         is_settled = report.map_version == self._map.version
         if is_settled and report.held_pass is None and report.armed is None:
             self._unsettled_since_s = None
--- a/siskinthread/group_maps/_demand.py
+++ b/siskinthread/group_maps/_demand.py
@@ -35,7 +35,7 @@
         for rank, counts in counts_by_rank.items():
             last = self._last.get(rank)
             self._last[rank] = counts
-            if last is not None and last.epoch == counts.epoch:
+            if last is not None and counts.continues(last):
                 changes.append(_difference(counts.counts_by_set, last.counts_by_set))
         if not changes:
             return
--- a/siskinthread/group_maps/_orders.py
+++ b/siskinthread/group_maps/_orders.py
@@ -32,6 +32,9 @@
         Requests that the rank runs.
     slowness : float
         Time that the rank takes for the same work, relative to the usual.
+    started_unix_ms : int or None
+        When the rank started; None if it does not say.  Epochs and versions begin anew
+        when all ranks have started anew.
     """
 
     __slots__ = (
@@ -47,6 +50,7 @@
         "running",
         "size",
         "slowness",
+        "started_unix_ms",
     )
 
     def __init__(
@@ -63,6 +67,7 @@
         held_pass,
         running=0,
         slowness=1.0,
+        started_unix_ms=None,
     ):
         self.group_name = group_name
         self.epoch = epoch
@@ -76,6 +81,7 @@
         self.held_pass = held_pass
         self.running = running
         self.slowness = slowness
+        self.started_unix_ms = started_unix_ms
 
 
 class ArmedMap:
@@ -107,14 +113,24 @@
         The pass at which it was counted.
     counts_by_set : list of list of int
         Counts by set and expert.
+    started_unix_ms : int or None
+        When the rank started; None if it does not say.
     """
 
-    __slots__ = ("counts_by_set", "epoch", "pass_number")
+    __slots__ = ("counts_by_set", "epoch", "pass_number", "started_unix_ms")
 
-    def __init__(self, epoch, pass_number, counts_by_set):
+    def __init__(self, epoch, pass_number, counts_by_set, started_unix_ms=None):
         self.epoch = epoch
         self.pass_number = pass_number
         self.counts_by_set = counts_by_set
+        self.started_unix_ms = started_unix_ms
+
+    def continues(self, earlier):
+        """Return whether these counts go on from earlier ones of the same rank."""
+        return (self.epoch, self.started_unix_ms) == (
+            earlier.epoch,
+            earlier.started_unix_ms,
+        )
 
 
 class HeldExperts:
--- a/siskinthread/group_maps/tests/test_demand.py
+++ b/siskinthread/group_maps/tests/test_demand.py
@@ -53,3 +53,17 @@
     for _ in range(3):
         demand.note({0: counts(1, 4, 0, 0)})
     assert demand.loads_by_set is None
+
+
+def test_counts_of_another_start_are_not_subtracted():
+    """Symptom: the experts in demand are taken for idle ones.
+
+    Events: all ranks start anew, so that epochs and counts begin anew as well.  Cause:
+    equal epochs were taken for one and the same.
+    """
+    demand = Demand(GroupMapSettings())
+    demand.note({0: RankCounts(1, 9, [[900, 100]], 5_000)})
+    demand.note({0: RankCounts(1, 3, [[10, 30]], 6_000)})
+    assert demand.loads_by_set is None
+    demand.note({0: RankCounts(1, 5, [[20, 60]], 6_000)})
+    assert demand.loads_by_set == [[0.25, 0.75]]
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -141,7 +141,14 @@
                 state,
                 [Address.parse(peer) for peer in document["peers"]],
             )
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            OverflowError,
+            RecursionError,
+        ) as error:
             raise ProtocolError(f"unreadable news: {error!r}") from error
 
 
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -137,7 +137,7 @@
         await self._gateway.serve_pages(_listen(self._settings.peer_address), pages)
 
     def _snapshot_page(self):
-        known_ids = {one.instance_id for one in self._gateway.parts.targets.entries()}
+        known_ids = {one.listed_id for one in self._gateway.parts.targets.entries()}
         return snapshot_page(self._tables, self._targets, known_ids)
 
     async def _fetch_snapshot(self, address):
--- a/siskinthread/platform/_rank_client.py
+++ b/siskinthread/platform/_rank_client.py
@@ -17,6 +17,7 @@
     Release,
 )
 from siskinthread.observability import part_logger
+from siskinthread.platform._server_entry import read_started_at
 from siskinthread.platform._wire import EXPECTED_INSTANCE
 from siskinthread.settings import Address
 from siskinthread.shared_services import HttpClient
@@ -54,7 +55,7 @@
         self._http = HttpClient("rank", address, None)
         # The address of a server that is gone may belong to a rank of another group,
         # which would take the order for its own.
-        self._expectation = (EXPECTED_INSTANCE, entry.instance_id)
+        self._expectation = (EXPECTED_INSTANCE, entry.listed_id)
         self._layout = layout
         self._call_count = call_count
 
@@ -110,13 +111,20 @@
             raise TargetError(f"{path} was answered with status {answer.status}")
         try:
             return json.loads(answer.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise TargetError(f"{path}: answer is no JSON") from error
 
     def _read(self, read, document):
         try:
             return read(document, self._layout)
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            IndexError,
+            AttributeError,
+            OverflowError,
+        ) as error:
             raise TargetError(f"unreadable answer: {error!r}") from error
 
 
@@ -138,6 +146,7 @@
         running=int(document.get("running", 0)),
         # "pace" is the time for a unit of work, so that a slow rank has a high one.
         slowness=float(document.get("pace", 1.0)),
+        started_unix_ms=read_started_at(document),
     )
 
 
@@ -158,7 +167,12 @@
         counts[start : start + layout.expert_count]
         for start in range(0, len(counts), layout.expert_count)
     ]
-    return RankCounts(int(document["epoch"]), int(document["step"]), by_set)
+    return RankCounts(
+        int(document["epoch"]),
+        int(document["step"]),
+        by_set,
+        read_started_at(document),
+    )
 
 
 def _read_held(document, layout):
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -12,6 +12,11 @@
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
 
+# Records of other writers whose reasons are remembered, so that each is logged once.
+REFUSED_LIMIT = 256
+# Characters of a reason that are logged.
+REASON_LIMIT = 300
+
 _logger = part_logger("platform")
 
 
@@ -56,7 +61,7 @@
         for record in records[::-1]:
             if record.key != CONFIGURATION_KEY or record.value is None:
                 continue
-            table = _read(read_route_table, record)
+            table = _read_table(record)
             if table is not None:
                 self.newest = record
                 return [table]
@@ -74,14 +79,21 @@
     Attributes
     ----------
     newest : dict of str to KeyedRecord
-        The newest readable record of each target.
+        The newest record of each target.
+
+    Notes
+    -----
+    A record that can't be read names no target from then on, like one that is dropped:
+    whoever reads the list anew does not see the target either.
     """
 
-    __slots__ = ("_store", "newest")
+    __slots__ = ("_refused", "_store", "newest")
 
     def __init__(self, store):
         self._store = store
         self.newest = {}
+        # Why records can't be read, by key; each reason is logged once.
+        self._refused = {}
 
     async def read_all(self):
         """Return every `TargetEntry` and a position."""
@@ -97,23 +109,51 @@
 
     def take(self, records):
         """Return each `TargetChange` of some records."""
-        changes = []
-        for record in records:
-            if record.value is None:
-                self.newest.pop(record.key, None)
-                changes.append(TargetChange(record.key, None))
-                continue
-            entry = _read(read_target_entry, record)
-            if entry is not None:
-                self.newest[record.key] = record
-                changes.append(TargetChange(record.key, entry))
-        return changes
+        return [TargetChange(one.key, self._read_entry(one)) for one in records]
+
+    def _read_entry(self, record):
+        """Return the `TargetEntry` of a record, None if it names no target."""
+        entry = None
+        if record.value is not None:
+            try:
+                entry = read_target_entry(record.key, decode_json(record))
+            except DocumentError as error:
+                self._note_refused(record.key, str(error))
+            else:
+                self._refused.pop(record.key, None)
+        if entry is None:
+            self.newest.pop(record.key, None)
+        else:
+            self.newest[record.key] = record
+        return entry
+
+    def _note_refused(self, key, reason):
+        if self._refused.get(key) == reason:
+            return
+        if len(self._refused) >= REFUSED_LIMIT:
+            self._refused.clear()
+        self._refused[key] = reason
+        _logger.event("record names no target", key=key, reason=reason)
+
+
+def decode_json(record):
+    """Return what a `KeyedRecord` holds.
+
+    Raises
+    ------
+    DocumentError
+        If that is no JSON, or too deeply nested to be read.
+    """
+    try:
+        return json.loads(record.value)
+    except (ValueError, RecursionError) as error:
+        raise DocumentError([f"{record.key}: {error!r}"[:REASON_LIMIT]]) from error
 
 
-def _read(read, record):
-    """Return what a record holds; None, with a log line, if it can't be read."""
+def _read_table(record):
+    """Return the `RouteTable` of a record; None, with a log line, if it is none."""
     try:
-        return read(record.key, json.loads(record.value))
-    except (ValueError, DocumentError) as error:
-        _logger.event("record is unreadable", key=record.key, reason=str(error))
+        return read_route_table(record.key, decode_json(record))
+    except DocumentError as error:
+        _logger.event("configuration is unreadable", reason=str(error)[:REASON_LIMIT])
         return None
--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -9,6 +9,7 @@
     PlatformUnavailableError,
     PositionExpiredError,
 )
+from siskinthread.observability import part_logger
 from siskinthread.shared_services import HttpClient, parse_json
 
 SERVICE = "platform store"
@@ -20,6 +21,8 @@
 LENGTH_BYTES = 4
 JSON_HEADER = ("content-type", "application/json")
 
+_logger = part_logger("platform")
+
 
 class KeyedRecord:
     """A value that was written under a key.
@@ -106,7 +109,8 @@
                 if position is None:
                     # "end" is the offset that the next record will get.
                     position = int(page["end"])
-                records += [_read_item(item) for item in page["items"]]
+                items = [_read_item(item) for item in page["items"]]
+                records += _readable(items, topic)
                 if not page["has_more"]:
                     return records, position
                 after = page["items"][-1]["key"]
@@ -190,19 +194,37 @@
                 raise PositionExpiredError(str(error)) from error
             raise
         try:
-            records = _read_records(body)
+            contents = _split_records(body)
         except ValueError as error:
             raise _unreadable(error) from error
-        return records, position + len(records)
+        read = [_read_keyed(content) for content in contents]
+        return _readable(read, topic), position + len(contents)
 
 
 def _read_item(item):
+    """Return the `KeyedRecord` of an item; None if its value can't be read."""
     # An empty value can't be told from a dropped key here; neither is ever used.
-    value = base64.b64decode(item["value"], validate=True)
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+    except ValueError:
+        return None
     return KeyedRecord(str(item["key"]), value or None)
 
 
-def _read_records(body):
+def _readable(records, topic):
+    """Return the records that could be read.
+
+    One that another writer has spoilt must not hide the others: the whole list would
+    stay as it was until that record is dropped.
+    """
+    readable = [one for one in records if one is not None]
+    if len(readable) < len(records):
+        count = len(records) - len(readable)
+        _logger.event("records are unreadable", topic=topic, count=count)
+    return readable
+
+
+def _split_records(body):
     """Return the records behind the two offsets that an answer begins with."""
     records = []
     at = 2 * OFFSET_BYTES
@@ -214,16 +236,21 @@
         content = body[at : at + size]
         if len(content) < size or not size:
             raise ValueError("record is cut short")
-        records.append(_read_keyed(content))
+        records.append(content)
         at += size
     return records
 
 
 def _read_keyed(content):
+    """Return the `KeyedRecord` of a record; None if it has no readable key."""
     key_end = 1 + content[0]
     if len(content) < key_end:
-        raise ValueError("key is cut short")
-    return KeyedRecord(content[1:key_end].decode(), content[key_end:] or None)
+        return None
+    try:
+        key = content[1:key_end].decode()
+    except UnicodeDecodeError:
+        return None
+    return KeyedRecord(key, content[key_end:] or None)
 
 
 def _unreadable(error):
--- a/siskinthread/platform/_wire.py
+++ b/siskinthread/platform/_wire.py
@@ -65,7 +65,7 @@
         headers = relayed_headers(request.head.headers, REQUEST_WITHHELD)
         headers.append((DEADLINE, str(max(1, request.deadline.left_ms()))))
         # The address may have been given to another server meanwhile.
-        headers.append((EXPECTED_INSTANCE, entry.instance_id))
+        headers.append((EXPECTED_INSTANCE, entry.listed_id))
         headers.append((PRIORITY, str(min(request.priority, LOWEST_PRIORITY))))
         if request.account is not None:
             headers.append((ACCOUNT, request.account.name))
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -16,7 +16,8 @@
 from siskinthread.platform._published import read_route_table
 from siskinthread.platform._rank_client import RankClient
 from siskinthread.platform._server_entry import read_target_entry
-from siskinthread.platform._store import _read_records
+from siskinthread.platform._sources import ListedTargets
+from siskinthread.platform._store import _read_keyed, _split_records, KeyedRecord
 from siskinthread.platform._wire import EXPECTED_INSTANCE, PlatformWire
 from siskinthread.platform.tests.system import published, route
 from siskinthread.shared_services._http import Answer
@@ -36,6 +37,16 @@
 address = "10.200.1.7:8223"
 parts = 8
 """
+ENTRY = {
+    "service": "app",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 1,
+}
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
     lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
@@ -106,11 +117,14 @@
 
 @given(st.binary(max_size=200))
 def test_any_bytes_are_records_or_an_error(data):
-    """A torn answer of the store is noticed."""
+    """A torn answer of the store is noticed, and any record in it is one or none."""
     try:
-        _read_records(data)
+        contents = _split_records(data)
     except ValueError:
         return
+    for content in contents:
+        assert content
+        _read_keyed(content)
 
 
 @given(st.lists(st.tuples(st.text(max_size=20), st.binary(max_size=40)), max_size=5))
@@ -120,7 +134,8 @@
     for key, value in records:
         content = bytes([len(key.encode())]) + key.encode() + value
         data += len(content).to_bytes(4, "big") + content
-    read = [(one.key, one.value) for one in _read_records(data)]
+    read = [_read_keyed(content) for content in _split_records(data)]
+    read = [(one.key, one.value) for one in read]
     assert read == [(key, value or None) for key, value in records]
 
 
@@ -138,15 +153,91 @@
 
 def test_entry_of_a_server():
     """A server that is draining is a target that leaves."""
-    document = json.loads(
-        '{"service":"app","address":"10.128.0.9:8080","zone":"a","slots":6,'
-        '"state":"draining"}'
-    )
-    entry = read_target_entry("i-7", document)
+    entry = read_target_entry("i-7", ENTRY | {"state": "draining"})
     assert (entry.instance_id, entry.host, entry.port) == ("i-7", "10.128.0.9", 8080)
     assert entry.is_leaving
 
 
+def test_start_of_a_server_is_part_of_its_instance():
+    """What is known of one start of a server is not believed of the next."""
+    first = read_target_entry("i-7", ENTRY | {"born": 1_771_618_566_009})
+    second = read_target_entry("i-7", ENTRY | {"born": 1_771_618_599_000})
+    assert first.listed_id == second.listed_id == "i-7"
+    assert first.instance_id != second.instance_id
+
+
+@pytest.mark.parametrize("field", sorted(ENTRY))
+def test_entry_without_a_field_names_no_target(field):
+    """Symptom: requests go to a server that nobody has set up.
+
+    Events: something else than a server writes an entry.  Cause: what was missing in it
+    was taken for a usual value.
+    """
+    document = {name: value for name, value in ENTRY.items() if name != field}
+    with pytest.raises(DocumentError, match=field):
+        read_target_entry("i-7", document)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("slots", True),
+        ("slots", 1.5),
+        ("slots", "6"),
+        ("slots", 0),
+        ("slots", -1),
+        ("slots", 10**30),
+        ("state", "new"),
+        ("state", ["ready"]),
+        ("zone", 5),
+        ("zone", ""),
+        ("service", ["app"]),
+        ("address", "10.128.0.9"),
+        ("address", "10.128.0.9:0"),
+        ("address", "10.128.0.9:99999"),
+        ("address", "10.128.0.9:٣"),
+        ("address", "host.example:8080"),
+        ("address", {}),
+        ("sequence", False),
+        ("born", 1.0),
+        ("born", True),
+        ("born", "1771618566009"),
+        ("born", -1),
+    ],
+)
+def test_entry_with_a_field_of_another_form_names_no_target(field, value):
+    """Symptom, cause: as without a field; ``true`` counted as one slot."""
+    with pytest.raises(DocumentError, match=field):
+        read_target_entry("i-7", ENTRY | {field: value})
+
+
+@given(st.sampled_from(sorted(ENTRY)), JSON_VALUES)
+def test_any_entry_names_a_target_or_none(field, value):
+    """Whatever stands in a field, there is a whole target or an error."""
+    try:
+        entry = read_target_entry("i-7", ENTRY | {field: value})
+    except DocumentError:
+        return
+    assert entry.slot_count >= 1 and entry.service_name and entry.failure_domain
+
+
+def test_one_foreign_entry_leaves_the_others():
+    """Symptom: a service has no targets, or the log fills with one line.
+
+    Events: another writer leaves bytes and deeply nested JSON among the entries of
+    servers, and overwrites one of them.  Cause: one unreadable record failed the whole
+    read, or was taken for no change.
+    """
+    source = ListedTargets(None)
+    good = json.dumps(ENTRY).encode()
+    source.take([KeyedRecord("i-1", good), KeyedRecord("i-2", good)])
+    nested = b"[" * 100_000
+    records = [KeyedRecord("i-2", nested), KeyedRecord("x", b"\xff\x00")]
+    changes = {one.listed_id: one.entry for one in source.take(records)}
+    assert changes == {"i-2": None, "x": None}
+    assert list(source.newest) == ["i-1"]
+
+
 ENGINE = {
     "stride": 4,
     "step_ms": 4.5,
--- a/siskinthread/shared_services/_http.py
+++ b/siskinthread/shared_services/_http.py
@@ -327,7 +327,7 @@
     """
     try:
         return json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise PlatformUnavailableError(
             f"{service}: answer is no JSON: {error}: {body[:80]!r}"
         ) from error
