Search map changes by what a step changes, in small pieces

Cause: planning blocked the event loop of the controlling entry. Measured on random demand, this machine, a whole core: 0.18 s at 12 ranks (3 sets, 96 experts), 0.66 s at 24 (16, 96), 0.78 s at 32 (12, 128), 6.5 s at 96 (16, 192). Entry hosts have half a core. Each step searched every set anew, as the ranks that may still copy had changed, and each candidate was judged by the norm over all ranks.

Ruled out: fewer candidates (the plans would be others).

Change: times of ranks and holders of experts are kept; a candidate is judged by the ranks that it changes; a step searches anew only its own set and those whose best step used the rank that may copy no more. The search yields after each set, the controller gives way after 5 ms, and ends with the first plan that is enough.

--- a/siskinthread/group_maps/__init__.py
+++ b/siskinthread/group_maps/__init__.py
@@ -36,7 +36,7 @@
 )
 from siskinthread.group_maps._pass_clock import PassClock
 from siskinthread.group_maps._passes import PassEstimate
-from siskinthread.group_maps._planner import Plan, plan_changes
+from siskinthread.group_maps._planner import Plan, plan_changes, search_plans
 from siskinthread.group_maps._ranks import GroupRanks
 from siskinthread.group_maps._settings import GroupMapSettings
 from siskinthread.group_maps._sizing import choose_plan
@@ -76,4 +76,5 @@
     "planned_version",
     "rank_loads",
     "relative_pass_time",
+    "search_plans",
 ]
--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -12,8 +12,8 @@
 from siskinthread.group_maps._layout import GroupMap
 from siskinthread.group_maps._look_times import LookCause, LookTimes
 from siskinthread.group_maps._passes import PassEstimate
-from siskinthread.group_maps._planner import plan_changes
-from siskinthread.group_maps._sizing import choose_plan, is_short
+from siskinthread.group_maps._planner import search_plans
+from siskinthread.group_maps._sizing import choose_plan, is_enough, is_short
 from siskinthread.observability import part_logger
 from siskinthread.timing import Deadline
 
@@ -24,6 +24,8 @@
 # Reports of two ranks may be of different ages.  Waiting for several times their lag
 # keeps what one rank had long done from looking undone beside another's newer report.
 STUCK_LAGS = 4
+# Time for which planning may keep requests waiting; a tenth of the quickest pass.
+PLANNING_SLICE_S = 0.005
 
 
 class GroupController:
@@ -247,18 +249,11 @@
 
     async def _plan_and_change(self, cause):
         version = self._next_version()
-        plans = plan_changes(
-            self._map,
-            self._demand.loads_by_set,
-            [one.slowness for one in self._reports],
-            self._layout,
-            self._settings,
-            version,
-        )
+        even_pass_s = self._even_pass_s()
+        plans = await self._search_plans(version, even_pass_s)
         if not plans:
             return
         self._measures.relative_pass_time(self._group_name, plans[0].time_before)
-        even_pass_s = self._even_pass_s()
         plan = choose_plan(plans, even_pass_s, self._layout, self._settings)
         if plan is None:
             return
@@ -298,6 +293,32 @@
             await curio.sleep(self._passes.pass_s)
             self._look_times.forget()
 
+    async def _search_plans(self, version, even_pass_s):
+        """Return the plans to choose from, attending to requests meanwhile.
+
+        Planning for 96 ranks takes some 0.1 s of a whole core, and entry hosts have half
+        of one.  Without pauses each first event that came then would be late by it.
+        """
+        plans = []
+        pause = Deadline.after(self._clock, PLANNING_SLICE_S)
+        search = search_plans(
+            self._map,
+            self._demand.loads_by_set,
+            [one.slowness for one in self._reports],
+            self._layout,
+            self._settings,
+            version,
+        )
+        for plan in search:
+            if plan is not None:
+                plans.append(plan)
+                if is_enough(plan, even_pass_s, self._layout, self._settings):
+                    break
+            if pause.passed():
+                await curio.sleep(0)
+                pause = Deadline.after(self._clock, PLANNING_SLICE_S)
+        return plans
+
     def _even_pass_s(self):
         running = sum(one.running for one in self._reports) / len(self._reports)
         return self._layout.model.even_pass_s(running)
--- a/siskinthread/group_maps/_planner.py
+++ b/siskinthread/group_maps/_planner.py
@@ -5,12 +5,9 @@
 they relieve the group most, and the next plan goes on from there.
 """
 
-from siskinthread.group_maps._layout import (
-    GroupMap,
-    rank_loads,
-    relative_pass_time,
-    replica_counts,
-)
+import itertools
+
+from siskinthread.group_maps._layout import GroupMap, relative_pass_time
 
 # Exponent of the norm that stands for the most loaded rank.  The plain maximum has
 # plateaus: with two ranks equally hot, relieving one of them shows no gain.
@@ -51,6 +48,15 @@
 def plan_changes(group_map, loads_by_set, slowness, layout, settings, version):
     """Return a `Plan` for each number of copies, each going on from the one before.
 
+    Takes the parameters of `search_plans`.
+    """
+    search = search_plans(group_map, loads_by_set, slowness, layout, settings, version)
+    return [plan for plan in search if plan is not None]
+
+
+def search_plans(group_map, loads_by_set, slowness, layout, settings, version):
+    """Yield a `Plan` for each number of copies, and None after each piece of work.
+
     Parameters
     ----------
     group_map : GroupMap
@@ -66,41 +72,67 @@
         How much one change may copy.
     version : int
         Version of the new map, whichever is chosen.
+
+    Notes
+    -----
+    Pieces of work let the caller attend to requests in between.  A step looks at the
+    ranks that it changes and at the one set that the step before has changed: with
+    ranks R, experts of a rank P and C candidates a step takes R log R + C P, and there
+    are up to R steps for each number of copies.
     """
     rank_count = len(group_map.holdings[0])
-    copies_left = [0] * rank_count
     searches = [
         _SetSearch([set(rank) for rank in ranks], loads, slowness, layout)
         for ranks, loads in zip(group_map.holdings, loads_by_set, strict=True)
     ]
     share = layout.model.expert_share
     time_before = relative_pass_time(group_map.holdings, loads_by_set, share, slowness)
-    plans = []
+    copies_left = [0] * rank_count
     for copies in range(1, settings.copies_limit + 1):
         copies_left = [left + 1 for left in copies_left]
-        if not _take_steps(searches, copies_left, settings):
-            break
+        is_any_taken = False
+        for search in _take_steps(searches, copies_left, settings):
+            is_any_taken = is_any_taken or search is not None
+            yield None
+        if not is_any_taken:
+            return
         holdings = [
             [tuple(sorted(rank)) for rank in search.ranks] for search in searches
         ]
         time_after = relative_pass_time(holdings, loads_by_set, share, slowness)
         new_map = GroupMap(version, holdings, layout.expert_count)
-        plans.append(Plan(new_map, copies, time_before, time_after))
-    return plans
+        yield Plan(new_map, copies, time_before, time_after)
 
 
 def _take_steps(searches, copies_left, settings):
-    """Take the best steps while any helps; return whether one was taken."""
-    is_any_taken = False
+    """Take the best steps while any helps.
+
+    Yields the `_SetSearch` that took a step, and None for each one that was searched.
+    """
+    steps = {}
+    for search in searches:
+        steps[search] = search.best_step(copies_left)
+        yield None
     while True:
-        steps = [search.best_step(copies_left) for search in searches]
-        best = max(steps, key=lambda step: step.gain)
+        best = max(steps.values(), key=_gain)
         if best.gain <= settings.least_step_gain:
-            return is_any_taken
+            return
         best.search.take(best)
-        if best.taker is not None:
-            copies_left[best.taker] -= 1
-        is_any_taken = True
+        steps[best.search] = best.search.best_step(copies_left)
+        yield best.search
+        if best.taker is None:
+            continue
+        copies_left[best.taker] -= 1
+        if copies_left[best.taker] > 0:
+            continue
+        for search, step in steps.items():
+            if step.taker == best.taker:
+                steps[search] = search.best_step(copies_left)
+                yield None
+
+
+def _gain(step):
+    return step.gain
 
 
 class _Step:
@@ -109,17 +141,17 @@
     Parameters
     ----------
     search : _SetSearch
-        The set.
+        Its set.
     gain : float
-        By how much the norm of the ranks' times falls.
-    expert : int
+        By how much it relieves the set.
+    expert : int or None
         The expert.
     taker : int or None
-        Rank that copies it.
+        The rank that begins to hold it.
     evicted : int or None
-        Expert that the taker gives up for it.
+        The expert that the taker gives up for it.
     giver : int or None
-        Rank that gives it up.
+        The rank that gives it up.
     """
 
     __slots__ = ("evicted", "expert", "gain", "giver", "search", "taker")
@@ -148,6 +180,16 @@
         Shape of the maps.
     """
 
+    __slots__ = (
+        "_added",
+        "_holders",
+        "_layout",
+        "_loads",
+        "_slowness",
+        "_times",
+        "ranks",
+    )
+
     def __init__(self, ranks, loads, slowness, layout):
         self.ranks = ranks
         self._slowness = slowness
@@ -155,106 +197,108 @@
         # Relative to the mean load of a rank, so that sets can be compared.
         self._loads = [load * len(ranks) / total for load in loads]
         self._layout = layout
+        # Experts that each rank has taken; a change may bring it a few only.
         self._added = [0] * len(ranks)
-        self._best = None
-        self._best_for = None
+        self._holders = [set() for _ in loads]
+        for rank, experts in enumerate(ranks):
+            for expert in experts:
+                self._holders[expert].add(rank)
+        # Time that each rank takes, relative to an even one.
+        self._times = [
+            slow * sum(self._part(expert) for expert in experts)
+            for slow, experts in zip(slowness, ranks, strict=True)
+        ]
 
     def take(self, step):
         """Put a step into the map."""
+        for rank, change in self._changes(step).items():
+            self._times[rank] += change
         if step.evicted is not None:
-            self.ranks[step.taker].discard(step.evicted)
+            self._drop(step.evicted, step.taker)
         if step.taker is not None:
             self.ranks[step.taker].add(step.expert)
+            self._holders[step.expert].add(step.taker)
             self._added[step.taker] += 1
         if step.giver is not None:
-            self.ranks[step.giver].discard(step.expert)
-        self._best = None
+            self._drop(step.expert, step.giver)
 
     def best_step(self, copies_left):
         """Return the step that relieves the set most, of gain 0 if none does."""
-        allowed = [
-            left > 0 and added < self._layout.spare_count
-            for left, added in zip(copies_left, self._added, strict=True)
+        times = self._times
+        hottest = max(range(len(times)), key=times.__getitem__)
+        takers = [
+            rank
+            for rank, left in enumerate(copies_left)
+            if left > 0 and self._added[rank] < self._layout.spare_count
         ]
-        if self._best is None or self._best_for != allowed:
-            self._best = self._search(allowed)
-            self._best_for = allowed
-        return self._best
-
-    def _search(self, allowed):
-        by_rank = rank_loads(self.ranks, self._loads)
-        replicas = replica_counts(self.ranks, len(self._loads))
-        before = self._norm(by_rank)
+        takers.sort(key=times.__getitem__)
+        sum_before = sum(time**NORM for time in times)
+        norm_before = sum_before ** (1 / NORM)
         best = _Step(self, 0.0)
-        times = [
-            load * slow for load, slow in zip(by_rank, self._slowness, strict=True)
-        ]
-        hottest = max(range(len(times)), key=times.__getitem__)
-        coolest = sorted(range(len(times)), key=times.__getitem__)
-        experts = sorted(
-            self.ranks[hottest],
-            key=lambda expert: self._loads[expert] / replicas[expert],
-            reverse=True,
-        )
+        experts = sorted(self.ranks[hottest], key=self._part, reverse=True)
         for expert in experts[:EXPERT_CANDIDATES]:
-            for step in self._steps(expert, hottest, coolest, allowed, replicas):
-                after = self._after(by_rank, replicas, step)
-                step.gain = before - self._norm(after)
+            for step in self._steps(expert, hottest, takers):
+                sum_after = sum_before
+                for rank, change in self._changes(step).items():
+                    sum_after += (times[rank] + change) ** NORM - times[rank] ** NORM
+                step.gain = norm_before - max(0.0, sum_after) ** (1 / NORM)
                 if step.gain > best.gain:
                     best = step
         return best
 
-    def _steps(self, expert, hottest, coolest, allowed, replicas):
+    def _steps(self, expert, hottest, takers):
         """Yield the steps that may relieve the hottest rank of an expert.
 
         A slow rank is relieved only by taking experts from it: what it shares with
         others it still does its part of.  With a rank that took 12 times as long,
         adding replicas alone left passes at 5 times an even one after six changes.
         """
-        if replicas[expert] > 1:
+        holders = self._holders[expert]
+        if len(holders) > 1:
             yield _Step(self, 0.0, expert, giver=hottest)
-        takers = [
-            rank for rank in coolest if allowed[rank] and expert not in self.ranks[rank]
-        ]
-        for taker in takers[:RANK_CANDIDATES]:
-            for evicted in self._evictions(taker, replicas):
+        coolest = itertools.islice(
+            (rank for rank in takers if rank not in holders), RANK_CANDIDATES
+        )
+        for taker in coolest:
+            for evicted in self._evictions(taker):
                 yield _Step(self, 0.0, expert, taker, evicted)
                 yield _Step(self, 0.0, expert, taker, evicted, hottest)
 
-    def _evictions(self, rank, replicas):
+    def _evictions(self, rank):
         """Return what a rank may give up for one more expert; None for nothing."""
         held = self.ranks[rank]
         if len(held) < self._layout.place_count:
             return [None]
-        spare = [expert for expert in held if replicas[expert] > 1]
-        spare.sort(key=lambda expert: self._loads[expert])
+        spare = [expert for expert in held if len(self._holders[expert]) > 1]
+        spare.sort(key=self._loads.__getitem__)
         return spare[:EVICTION_CANDIDATES]
 
-    def _after(self, by_rank, replicas, step):
-        """Return the load of each rank after a step."""
-        after = list(by_rank)
-        joining = set() if step.taker is None else {step.taker}
-        leaving = set() if step.giver is None else {step.giver}
-        self._share_anew(after, replicas, step.expert, joining, leaving)
+    def _changes(self, step):
+        """Return by how much a step changes the time of each rank that it concerns."""
+        changes = {}
+        self._share_anew(changes, step.expert, step.taker, step.giver)
         if step.evicted is not None:
-            self._share_anew(after, replicas, step.evicted, set(), {step.taker})
-        return after
-
-    def _share_anew(self, loads, replicas, expert, joining, leaving):
-        """Change loads by ranks that begin or cease to hold an expert."""
-        load, count = self._loads[expert], replicas[expert]
-        new_share = load / (count + len(joining) - len(leaving))
-        for rank, experts in enumerate(self.ranks):
-            if expert in experts:
-                loads[rank] -= load / count
-                if rank not in leaving:
-                    loads[rank] += new_share
-        for rank in joining:
-            loads[rank] += new_share
-
-    def _norm(self, by_rank):
-        total = sum(
-            (load * slow) ** NORM
-            for load, slow in zip(by_rank, self._slowness, strict=True)
-        )
-        return total ** (1 / NORM)
+            self._share_anew(changes, step.evicted, None, step.taker)
+        return changes
+
+    def _share_anew(self, changes, expert, joining, leaving):
+        """Add the changes of a rank that begins or ceases to hold an expert."""
+        slowness = self._slowness
+        holders = self._holders[expert]
+        part = self._part(expert)
+        count = len(holders) + (joining is not None) - (leaving is not None)
+        new_part = self._loads[expert] / count
+        for rank in holders:
+            change = -part if rank == leaving else new_part - part
+            changes[rank] = changes.get(rank, 0.0) + change * slowness[rank]
+        if joining is not None:
+            change = new_part * slowness[joining]
+            changes[joining] = changes.get(joining, 0.0) + change
+
+    def _part(self, expert):
+        """Return the load that each holder of an expert has of it."""
+        return self._loads[expert] / len(self._holders[expert])
+
+    def _drop(self, expert, rank):
+        self.ranks[rank].discard(expert)
+        self._holders[expert].discard(rank)
--- a/siskinthread/group_maps/_sizing.py
+++ b/siskinthread/group_maps/_sizing.py
@@ -40,6 +40,16 @@
     return max(worthy, key=lambda plan: _gain_rate(plan, layout, settings))
 
 
+def is_enough(plan, even_pass_s, layout, settings):
+    """Return whether `choose_plan` needs no plan behind this one."""
+    if is_short(even_pass_s * plan.time_before, layout, settings):
+        return True
+    in_time_s = layout.pass_limit_s * settings.in_time_share
+    return (
+        plan.gain >= settings.least_gain and even_pass_s * plan.time_after <= in_time_s
+    )
+
+
 def is_short(pass_s, layout, settings):
     """Return whether a pass is well within the longest one that is in time."""
     return pass_s <= layout.pass_limit_s * settings.short_pass_share
--- a/siskinthread/group_maps/tests/test_planner.py
+++ b/siskinthread/group_maps/tests/test_planner.py
@@ -11,6 +11,7 @@
     PassModel,
     plan_changes,
     relative_pass_time,
+    search_plans,
 )
 
 MODEL = PassModel(0.85, fixed_s=0.03, request_s=0.005)
@@ -117,3 +118,48 @@
     own_part = (1 - share) * slowness[0]
     assert before == 12.0
     assert after < own_part + 1.5 * share
+
+
+def large_group():
+    """Return map, loads and layout of a group of 96 ranks with 3 places each."""
+    draw = random.Random(1)
+    rank_count, set_count, expert_count, place_count = 96, 16, 192, 3
+    ranks = [
+        tuple(sorted((rank * place_count + i) % expert_count for i in range(3)))
+        for rank in range(rank_count)
+    ]
+    loads = [
+        [draw.paretovariate(1.2) for _ in range(expert_count)] for _ in range(set_count)
+    ]
+    layout = ExpertLayout(
+        set_count, expert_count, place_count, 2, MODEL, copy_s=0.02, report_lag_s=0.2
+    )
+    return GroupMap(0, [ranks] * set_count, expert_count), loads, layout
+
+
+def test_plan_of_a_large_group_is_searched_in_small_pieces():
+    """Symptom: an entry answers nothing for 6 s each time it plans.
+
+    Events: the demand of 96 ranks shifts, and their controller plans three changes.
+    Cause: each step searched all sets anew, and looked at all ranks for each candidate.
+    A step now searches the set that it changed, and those that meant to use its rank:
+    some 3 pieces a step, where it was 16.
+    """
+    group_map, loads, layout = large_group()
+    slowness = [1.0] * len(group_map.holdings[0])
+    pieces = list(search_plans(group_map, loads, slowness, layout, SETTINGS, 2))
+    plans = [piece for piece in pieces if piece is not None]
+    step_count = sum(sum(group_map.new_experts(plan.group_map)) for plan in plans[-1:])
+    assert len(plans) == SETTINGS.copies_limit
+    assert plans[-1].time_after < 0.25 * plans[0].time_before
+    assert len(pieces) < 3 * layout.set_count + 5 * step_count
+
+
+def test_search_may_end_with_the_plan_that_is_enough():
+    """A plan does not depend on whether those behind it are searched."""
+    group_map, loads, layout = large_group()
+    arguments = (group_map, loads, [1.0] * 96, layout, SETTINGS, 2)
+    search = search_plans(*arguments)
+    first = next(piece for piece in search if piece is not None)
+    whole = plan_changes(*arguments)[0]
+    assert first.group_map.holdings == whole.group_map.holdings
