Reckon the size of an order once for all ranks

Cause: a profile of a controlling entry showed 44,940 steps of counting held experts in 20 s at 20 ranks; at 96 ranks it would be 147,000 for each order to all. Change: the largest order is measured once.

--- a/siskinthread/group_maps/_ranks.py
+++ b/siskinthread/group_maps/_ranks.py
@@ -97,8 +97,9 @@
         on_taken : callable, optional
             Called with the rank as soon as it has taken its order.
         """
-        sizes_bytes = [order_size_bytes(order) for order in orders.values()]
-        sending_s = sum(sizes_bytes) / self._settings.send_rate_bytes_s
+        # All ranks get one and the same order, or small ones.
+        largest_bytes = max(map(order_size_bytes, set(orders.values())), default=0)
+        sending_s = largest_bytes * len(orders) / self._settings.send_rate_bytes_s
         tasks = {
             rank: await curio.spawn(
                 self._tell_one, rank, order, sending_s, on_taken, daemon=True
