--- a/siskinthread/group_maps/_change.py
+++ b/siskinthread/group_maps/_change.py
@@ -138,8 +138,8 @@
         -------
         ChangeResult
         """
-        copying = _Copying(old_map, new_map, self._layout.copy_s, self._clock)
-        if not await self._prepare(epoch, new_map, copying):
+        copying = await self._prepare(epoch, old_map, new_map)
+        if copying is None:
             return ChangeResult.NOT_BEGUN
         await curio.sleep(copying.end.left_s())
         pass_number = await self._hold(epoch, passes, copying)
@@ -152,13 +152,23 @@
             return ChangeResult.LEFT_HELD
         return ChangeResult.IN_FORCE
 
-    async def _prepare(self, epoch, new_map, copying=None):
-        """Return whether all ranks copy; `copying` is told when each began."""
+    async def _prepare(self, epoch, old_map, new_map):
+        """Let all ranks copy; return the `_Copying`, None if one of them does not.
+
+        Ranks refuse while the pass of their last change has not begun, all of them
+        alike.  So one of them is asked first, until it takes the order: 96 refused it
+        each time, in 12 of 35 changes.
+        """
         prepare = Prepare(epoch, new_map)
-        on_taken = None if copying is None else copying.began
-        return await self._tell_until_taken(
-            prepare, self._settings.prepare_retry_s, on_taken
-        )
+        limit_s = self._settings.prepare_retry_s
+        if not await self._tell_until_taken(prepare, limit_s, {HOLDING_RANK}):
+            return None
+        copying = _Copying(old_map, new_map, self._layout.copy_s, self._clock)
+        copying.began(HOLDING_RANK)
+        others = set(range(len(self._ranks.clients))) - {HOLDING_RANK}
+        if not await self._tell_until_taken(prepare, 0.0, others, copying.began):
+            return None
+        return copying
 
     async def _hold(self, epoch, passes, copying):
         """Return the pass that is held, None if no hold was confirmed.
@@ -185,15 +195,17 @@
 
         Reports would tell the end of a rank's copying only after their lag.
         """
-        return await self._tell_until_taken(arm, self._settings.prepare_margin_s)
+        ranks = set(range(len(self._ranks.clients)))
+        limit_s = self._settings.prepare_margin_s
+        return await self._tell_until_taken(arm, limit_s, ranks)
 
-    async def _tell_until_taken(self, order, limit_s, on_taken=None):
-        """Tell all ranks, those that refuse again; return whether all have taken it.
+    async def _tell_until_taken(self, order, limit_s, ranks, on_taken=None):
+        """Tell ranks, those that refuse again; return whether all have taken it.
 
         A rank refuses to arm while it copies, and to prepare while the pass of its last
         change has not begun.
         """
-        waiting = set(range(len(self._ranks.clients)))
+        waiting = ranks
         limit = Deadline.after(self._clock, limit_s)
         while True:
             results = await self._ranks.tell_all(
@@ -280,7 +292,7 @@
         """
         version = _release_version(reports)
         blank = GroupMap(version, current_map.holdings, self._layout.expert_count)
-        if not await self._prepare(epoch, blank):
+        if await self._prepare(epoch, current_map, blank) is None:
             return
         await curio.sleep(self._layout.report_lag_s)
         after = await self._ranks.reports()
