Run a change in a task of its own, so that its waits end

Cause: the commit that finishes a change before control passes on ran the change where cancellation is off. There the time limits of calls have no effect either: where a hold, arm or release of the holding rank was not answered, the controller waited for ever.

Ruled out: shares of accounts (no refusals more), glances at two ranks.

Change: the change has a task of its own, which its controller waits for. Test: a rank that does not answer its first hold; it fails before.

--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -284,12 +284,7 @@
         if plan is None:
             return
         began_s = self._clock.monotonic_s()
-        # A change that is left in the middle holds its group until somebody finds it:
-        # for 1.8 s when shares passed to another entry.  It ends within a second.
-        async with curio.disable_cancellation():
-            result = await self._change.run(
-                self._epoch, self._map, plan.group_map, self._passes
-            )
+        result = await self._run_whole(plan.group_map)
         _logger.event(
             "map change",
             group=self._group_name,
@@ -322,6 +317,25 @@
             await curio.sleep(self._passes.pass_s)
             self._look_times.forget()
 
+    async def _run_whole(self, new_map):
+        """Run a change to its end, also when this controller is to end meanwhile.
+
+        A change that is left in the middle holds its group until somebody finds it: for
+        1.8 s when shares passed to another entry.  It has a task of its own, since time
+        limits have no effect either where cancellation is off: a change whose order was
+        not answered went on for ever.
+        """
+        change = await curio.spawn(
+            self._change.run,
+            self._epoch,
+            self._map,
+            new_map,
+            self._passes,
+            daemon=True,
+        )
+        async with curio.disable_cancellation():
+            return await change.join()
+
     async def _search_plans(self, version, even_pass_s):
         """Return the plans to choose from, attending to requests meanwhile.
 
--- a/siskinthread/group_maps/tests/test_duty.py
+++ b/siskinthread/group_maps/tests/test_duty.py
@@ -13,7 +13,9 @@
     GroupMapSettings,
     GroupMemory,
     GroupRanks,
+    Hold,
     MapMeasures,
+    OrderResult,
     PassClock,
     PassModel,
     Prepare,
@@ -368,3 +370,43 @@
     held, controllers = curio.run(main)
     assert held is None
     assert controllers == []
+
+
+class MuteClient(CountingClient):
+    """A rank that does not answer the first hold."""
+
+    def __init__(self, group, number, holdings):
+        super().__init__(group, number, holdings)
+        self.is_mute = True
+
+    async def order(self, order, wait_s):
+        """Carry an order out; wait in vain for the answer to the first hold."""
+        result = await super().order(order, wait_s)
+        if isinstance(order, Hold) and self.is_mute:
+            self.is_mute = False
+            await curio.ignore_after(wait_s, curio.sleep, HANG_S)
+            return OrderResult.UNKNOWN
+        return result
+
+
+def test_order_without_an_answer_does_not_stop_its_controller():
+    """Symptom: a group gets no new map for 25 s, and stands still for 1.7 s.
+
+    Events: the answer to a hold is lost.  Cause: the change ran where its controller
+    could not be cancelled, and there the wait for the answer had no limit either.
+    """
+
+    async def main():
+        group = FakeGroup(RANKS)
+        duty, directory, _, clients = build(group)
+        for number, one in enumerate(list(clients)):
+            clients[one] = MuteClient(group, number, HOLDINGS)
+        await directory.refresh([Entry("i-0"), Entry("i-1")])
+        await duty._renew()
+        await duty._reconcile()
+        async with curio.timeout_after(HANG_S):
+            while group.ranks[0].version == 0:
+                await curio.sleep(0.01)
+        await duty._stop_all()
+
+    curio.run(main)
