--- /dev/null
+++ b/siskinthread/gateway/_context.py
@@ -0,0 +1,101 @@
+"""What all connections of a gateway share."""
+
+from siskinthread.http_server import BodyBudget
+
+LIMIT_NAMES = (
+    "head_size_limit_bytes",
+    "body_size_limit_bytes",
+    "head_limit_s",
+    "idle_limit_s",
+)
+
+
+class LiveSettings:
+    """The settings, with the callers' limits that operators publish.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Everything else, and the limits until the first are published.
+    view : TableView
+        The published ones.
+    """
+
+    __slots__ = ("_settings", "_view")
+
+    def __init__(self, settings, view):
+        self._settings = settings
+        self._view = view
+
+    def __getattr__(self, name):
+        table = self._view.table
+        if name in LIMIT_NAMES and table is not None and table.limits is not None:
+            return getattr(table.limits, name)
+        return getattr(self._settings, name)
+
+
+class GatewayContext:
+    """What all connections share.
+
+    Parameters
+    ----------
+    settings : LiveSettings
+        Limits and waits.
+    view : TableView
+        The routes in force.
+    parts : GatewayParts
+        The parts that requests need.
+    dependencies : list of Dependency
+        Whose answers confirm the routes.
+    ended_count : prometheus_client.Counter
+        Connections that were ended early, by cause.
+
+    Attributes
+    ----------
+    bodies : siskinthread.http_server.BodyBudget
+        Memory for bodies.
+    draining : bool
+        Whether readiness fails, and each response is the last of its connection.
+    closing : bool
+        Whether connections are refused.
+    """
+
+    __slots__ = (
+        "_dependencies",
+        "bodies",
+        "closing",
+        "draining",
+        "ended_count",
+        "parts",
+        "settings",
+        "view",
+    )
+
+    def __init__(self, settings, view, parts, dependencies, ended_count):
+        self.settings = settings
+        self.view = view
+        self.parts = parts
+        self.ended_count = ended_count
+        self.bodies = BodyBudget(settings.bodies_limit_bytes)
+        self.draining = False
+        self.closing = False
+        self._dependencies = dependencies
+
+    def confirm_by(self, dependency):
+        """Let the answers of one more `Dependency` confirm the routes."""
+        self._dependencies.append(dependency)
+
+    def table_age_s(self):
+        """Return the seconds since the routes were confirmed, or None."""
+        ages_s = [one.age_s() for one in self._dependencies]
+        known_s = [age_s for age_s in ages_s if age_s is not None]
+        return round(min(known_s), 3) if known_s else None
+
+    def is_table_fresh(self):
+        """Return whether the routes can be trusted to be the newest ones."""
+        limit_s = self.settings.table_wait_s + self.settings.table_fresh_s
+        for dependency in self._dependencies:
+            age_s = dependency.age_s()
+            if age_s is not None and age_s <= limit_s and not dependency.is_lost:
+                return True
+        return False
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -1,10 +1,9 @@
 """The gateway: an entry that passes requests on to targets without agents."""
 
-import collections
-import hashlib
-
 import curio
 
+from siskinthread.gateway._context import GatewayContext, LiveSettings
+from siskinthread.gateway._control_home import ControlHome
 from siskinthread.gateway._parts import GatewayParts
 from siskinthread.gateway._session import GatewaySession
 from siskinthread.gateway._snapshots import SnapshotFollower
@@ -17,112 +16,14 @@
 from siskinthread.gateway._table import TableView
 from siskinthread.gateway._table_following import TableFollower
 from siskinthread.gateway._target_following import TargetFollower
-from siskinthread.http_server import BodyBudget, ConnectionServer
+from siskinthread.http_server import ConnectionServer
 from siskinthread.observability import part_logger
 from siskinthread.peer_news import HostState
 from siskinthread.timing import Deadline
 
-LIMIT_NAMES = (
-    "head_size_limit_bytes",
-    "body_size_limit_bytes",
-    "head_limit_s",
-    "idle_limit_s",
-)
-
 _logger = part_logger("gateway")
 
 
-class LiveSettings:
-    """The settings, with the callers' limits that operators publish.
-
-    Parameters
-    ----------
-    settings : GatewaySettings
-        Everything else, and the limits until the first are published.
-    view : TableView
-        The published ones.
-    """
-
-    __slots__ = ("_settings", "_view")
-
-    def __init__(self, settings, view):
-        self._settings = settings
-        self._view = view
-
-    def __getattr__(self, name):
-        table = self._view.table
-        if name in LIMIT_NAMES and table is not None and table.limits is not None:
-            return getattr(table.limits, name)
-        return getattr(self._settings, name)
-
-
-class GatewayContext:
-    """What all connections share.
-
-    Parameters
-    ----------
-    settings : LiveSettings
-        Limits and waits.
-    view : TableView
-        The routes in force.
-    parts : GatewayParts
-        The parts that requests need.
-    dependencies : list of Dependency
-        Whose answers confirm the routes.
-    ended_count : prometheus_client.Counter
-        Connections that were ended early, by cause.
-
-    Attributes
-    ----------
-    bodies : siskinthread.http_server.BodyBudget
-        Memory for bodies.
-    draining : bool
-        Whether readiness fails, and each response is the last of its connection.
-    closing : bool
-        Whether connections are refused.
-    """
-
-    __slots__ = (
-        "_dependencies",
-        "bodies",
-        "closing",
-        "draining",
-        "ended_count",
-        "parts",
-        "settings",
-        "view",
-    )
-
-    def __init__(self, settings, view, parts, dependencies, ended_count):
-        self.settings = settings
-        self.view = view
-        self.parts = parts
-        self.ended_count = ended_count
-        self.bodies = BodyBudget(settings.bodies_limit_bytes)
-        self.draining = False
-        self.closing = False
-        self._dependencies = dependencies
-
-    def confirm_by(self, dependency):
-        """Let the answers of one more `Dependency` confirm the routes."""
-        self._dependencies.append(dependency)
-
-    def table_age_s(self):
-        """Return the seconds since the routes were confirmed, or None."""
-        ages_s = [one.age_s() for one in self._dependencies]
-        known_s = [age_s for age_s in ages_s if age_s is not None]
-        return round(min(known_s), 3) if known_s else None
-
-    def is_table_fresh(self):
-        """Return whether the routes can be trusted to be the newest ones."""
-        limit_s = self.settings.table_wait_s + self.settings.table_fresh_s
-        for dependency in self._dependencies:
-            age_s = dependency.age_s()
-            if age_s is not None and age_s <= limit_s and not dependency.is_lost:
-                return True
-        return False
-
-
 class Gateway:
     """The parts of the gateway, and its tasks.
 
@@ -151,13 +52,13 @@
         "_callers",
         "_clock",
         "_context",
-        "_failure_domain",
         "_metrics",
         "_peers",
         "_settings",
         "_snapshot_follower",
         "_table_follower",
         "_target_follower",
+        "control_home",
         "parts",
         "view",
     )
@@ -174,7 +75,6 @@
         random,
     ):
         self._settings = settings
-        self._failure_domain = failure_domain
         self._clock = clock
         self._metrics = metrics
         self._peers = None
@@ -204,6 +104,9 @@
             [self._table_follower.dependency],
             ended_count,
         )
+        self.control_home = ControlHome(
+            settings, failure_domain, self.parts.progress, self._context
+        )
         self._callers = ConnectionServer(
             live,
             self._context,
@@ -230,6 +133,7 @@
         self.parts.progress.peers = peers
         self.parts.retry_part.peers = peers
         self.parts.accounts.peers = peers
+        self.control_home.peers = peers
         self._peers = peers
         self._snapshot_follower = SnapshotFollower(
             fetch_snapshot,
@@ -255,60 +159,6 @@
             tasks["snapshots"] = self._snapshot_follower.run
         return tasks
 
-    def is_to_relieve(self, group):
-        """Return whether a group stands still, and this entry should see to it.
-
-        One entry of each failure domain does, so that a standing group is not asked by
-        all of them.
-        """
-        is_reader = self._peers is None or self._peers.is_reader()
-        return is_reader and self.parts.progress.is_stalled(group)
-
-    def reader_address(self):
-        """Return the address of the entry that reads for this domain; None if it is
-        this one.
-        """
-        return None if self._peers is None else self._peers.reader_address()
-
-    def is_control_candidate(self):
-        """Return whether this entry should take a share of the control of groups.
-
-        A change of a map sends it to each rank, 2 MB in all for 96 ranks, so that the
-        entries with the fastest links go first; a few are enough.  One that drains
-        hands its shares over while it still can finish what it has begun.
-        """
-        if self._context.draining:
-            return False
-        if self._peers is None:
-            return True
-        return self._peers.is_among_first(self._settings.controllers_per_domain)
-
-    def is_home(self, group, rank_domains):
-        """Return whether a group is controlled from this failure domain.
-
-        It is the one with most of its ranks, among those that have entries: callers'
-        requests go to their own domain first, so that the entries there see the passes
-        of the group, and orders do not leave the domain.  Whether these entries are
-        informed does not matter: in an outage of the store none is, and each domain
-        would take itself for the home of all groups.
-        """
-        heard = {self._failure_domain}
-        if self._peers is not None:
-            heard |= self._peers.heard_domains()
-        counts = collections.Counter(one for one in rank_domains if one in heard)
-        if not counts:
-            return self._failure_domain == min(heard)
-        home = max(counts, key=lambda one: (counts[one], _tie_break(group, one)))
-        return home == self._failure_domain
-
-    def is_store_away(self):
-        """Return whether nobody who is heard of reaches the sources."""
-        return self._peers is None or not self._peers.informed_peers()
-
-    def pass_clock(self, group):
-        """Return the `PassView` of a group."""
-        return self.parts.progress.pass_view(group)
-
     async def serve_callers(self, listening_socket):
         """Serve callers until a drain has finished."""
         await self._callers.run(listening_socket)
@@ -395,8 +245,3 @@
             entries = self.parts.targets.entries()
             serving = {one.instance_id for one in entries if not one.is_leaving}
             await self.parts.pool.sweep(serving)
-
-
-def _tie_break(group, failure_domain):
-    """Return what orders failure domains for a group, for each group otherwise."""
-    return hashlib.blake2b(f"{group}/{failure_domain}".encode()).digest()
--- a/siskinthread/gateway/tests/test_control_home.py
+++ b/siskinthread/gateway/tests/test_control_home.py
@@ -1,10 +1,7 @@
 """From which failure domain a group is controlled."""
 
-import random
-
-from siskinthread.gateway import Gateway
-from siskinthread.gateway.tests.parts import clock, SETTINGS
-from siskinthread.observability import Metrics
+from siskinthread.gateway._control_home import ControlHome
+from siskinthread.gateway.tests.parts import SETTINGS
 
 
 class FakePeers:
@@ -19,12 +16,10 @@
 
 
 def build(domain, *heard):
-    """Return a gateway in a failure domain that hears of some."""
-    gateway = Gateway(
-        SETTINGS, domain, None, None, None, clock(), Metrics(), random.Random(1)
-    )
-    gateway._peers = FakePeers(*heard)
-    return gateway
+    """Return the control home of an entry that hears of some failure domains."""
+    home = ControlHome(SETTINGS, domain, None, None)
+    home.peers = FakePeers(*heard)
+    return home
 
 
 def test_one_domain_is_the_home_of_a_group():
--- a/siskinthread/group_maps/_duty.py
+++ b/siskinthread/group_maps/_duty.py
@@ -26,13 +26,13 @@
         leave()`` gives them up; both raise `PlatformUnavailableError`.
     find_layout : callable
         Returns the `ExpertLayout` of a group by an instance id of it, or None.
-    progress : object
-        What streams show of a group, by its name: ``is_to_relieve(name)``, whether it
-        stands still and this process should see to it, and ``pass_clock(name)``, the
-        times of its passes.  Besides, whether this process should control groups,
-        ``is_control_candidate()``, ``is_home(name, domains)``, whether one whose ranks
-        are in some failure domains is controlled from the own one, and
-        ``is_store_away()``, whether nobody can get shares at present.
+    home : object
+        What is known of this entry and of streams: ``is_control_candidate()``, whether
+        it should control groups; ``is_home(name, domains)``, whether a group whose
+        ranks are in some failure domains is controlled from the own one;
+        ``is_store_away()``, whether nobody can get shares at present;
+        ``is_to_relieve(name)``, whether a group stands still and this process should
+        see to it; ``pass_view(name)``, the times of its passes.
     settings : GroupMapSettings
         Times.
     clock : siskinthread.timing.Clock
@@ -61,7 +61,7 @@
         "_held",
         "_measures",
         "_memories",
-        "_progress",
+        "_home",
         "_random",
         "_reliefs",
         "_settings",
@@ -73,13 +73,13 @@
         directory,
         shares,
         find_layout,
-        progress,
+        home,
         settings,
         clock,
         measures,
         random,
     ):
-        self._progress = progress
+        self._home = home
         self._random = random
         self._directory = directory
         self._shares = shares
@@ -111,7 +111,7 @@
             await self._stop_all()
 
     async def _renew(self):
-        if not self._progress.is_control_candidate():
+        if not self._home.is_control_candidate():
             await self._leave()
             return
         expiry = Deadline.after(self._clock, self._settings.share_lapse_s)
@@ -120,7 +120,7 @@
         except PlatformUnavailableError as error:
             # While nobody reaches the store, nobody else gets the shares either, and
             # the demand goes on shifting: maps stood still for the rest of an outage.
-            is_taken_over = self._expiry.passed() and not self._progress.is_store_away()
+            is_taken_over = self._expiry.passed() and not self._home.is_store_away()
             if self._held is not None and is_taken_over:
                 _logger.event("shares have lapsed", reason=str(error))
                 self._held = None
@@ -147,7 +147,7 @@
             for name, clients in complete.items()
             if self._held is not None
             and self._held.contains(name)
-            and self._progress.is_home(name, self._directory.domains_of(clients))
+            and self._home.is_home(name, self._directory.domains_of(clients))
         }
         for name in list(self._controllers):
             ids, task = self._controllers[name]
@@ -170,7 +170,7 @@
         for name, clients in groups.items():
             if name in self._controllers or name in self._reliefs:
                 continue
-            if self._progress.is_to_relieve(name):
+            if self._home.is_to_relieve(name):
                 controller = self._build_controller(name, clients)
                 if controller is not None:
                     task = await curio.spawn(controller.relieve, daemon=True)
@@ -187,7 +187,7 @@
             name,
             ranks,
             layout,
-            self._progress.pass_clock(name),
+            self._home.pass_view(name),
             self._memories.setdefault(name, GroupMemory(self._settings)),
             self._settings,
             self._clock,
--- a/siskinthread/platform/_group_control.py
+++ b/siskinthread/platform/_group_control.py
@@ -59,7 +59,7 @@
             self._directory,
             shares,
             self._find_layout,
-            gateway,
+            gateway.control_home,
             settings,
             SYSTEM_CLOCK,
             MapMeasures(metrics),
@@ -80,7 +80,7 @@
                 ask_by = None
             elif ask_by is None:
                 ask_by = Deadline.after(SYSTEM_CLOCK, PEER_PLACES_WAIT_S)
-            may_ask = self._gateway.reader_address() is None or (
+            may_ask = self._gateway.control_home.reader_address() is None or (
                 ask_by is not None and ask_by.passed()
             )
             is_complete = await self._directory.refresh(ranks, may_ask)
@@ -88,7 +88,7 @@
 
     async def _learn_from_peer(self, unknown):
         """Take places of ranks from the entry that asks them for this domain."""
-        address = self._gateway.reader_address()
+        address = self._gateway.control_home.reader_address()
         if not unknown or address is None:
             return
         try:
--- a/siskinthread/platform/_rank_places.py
+++ b/siskinthread/platform/_rank_places.py
@@ -5,9 +5,8 @@
 from siskinthread.errors import PlatformUnavailableError
 from siskinthread.gateway import STATUS_OK, StatusPage
 from siskinthread.group_maps import RankPlace
-from siskinthread.shared_services import HttpClient, parse_json
+from siskinthread.platform._peer_documents import fetch_document
 
-SERVICE = "peer"
 RANK_PLACES_PATH = "/rank-places"
 
 
@@ -41,12 +40,7 @@
     PlatformUnavailableError
         If there was no readable answer in time.
     """
-    http = HttpClient(SERVICE, address, wait_s)
-    try:
-        body = await http.get(RANK_PLACES_PATH)
-    finally:
-        await http.close()
-    document = parse_json(SERVICE, body)
+    document = await fetch_document(address, RANK_PLACES_PATH, wait_s)
     try:
         return {
             instance_id: RankPlace(str(group_name), int(rank), int(size))
--- a/siskinthread/platform/_snapshots.py
+++ b/siskinthread/platform/_snapshots.py
@@ -8,15 +8,14 @@
 
 from siskinthread.errors import PlatformUnavailableError
 from siskinthread.gateway import Snapshot, STATUS_OK, StatusPage
+from siskinthread.platform._peer_documents import fetch_document
 from siskinthread.platform._sources import (
     CONFIGURATION_KEY,
     ListedTargets,
     PublishedTables,
 )
 from siskinthread.platform._store import KeyedRecord
-from siskinthread.shared_services import HttpClient, parse_json
 
-SERVICE = "peer"
 SNAPSHOT_PATH = "/snapshot"
 
 
@@ -58,12 +57,7 @@
     PlatformUnavailableError
         If there was no readable answer in time.
     """
-    http = HttpClient(SERVICE, address, wait_s)
-    try:
-        body = await http.get(SNAPSHOT_PATH)
-    finally:
-        await http.close()
-    document = parse_json(SERVICE, body)
+    document = await fetch_document(address, SNAPSHOT_PATH, wait_s)
     try:
         config, servers = document["config"], document["servers"]
         records = [KeyedRecord(key, value.encode()) for key, value in servers.items()]
