--- a/siskinthread/gateway/_snapshots.py
+++ b/siskinthread/gateway/_snapshots.py
@@ -67,6 +67,7 @@
         "_peers",
         "_settings",
         "_table_follower",
+        "_taken",
         "_target_follower",
         "_targets",
         "_view",
@@ -91,6 +92,8 @@
         self._table_follower = table_follower
         self._target_follower = target_follower
         self._settings = settings
+        # What the peer of the last snapshot had told of before it was taken.
+        self._taken = None
         self.dependency = Dependency("news of peers", clock)
 
     async def run(self):
@@ -99,7 +102,9 @@
             await curio.sleep(self._settings.snapshot_interval_s)
             if self._is_cut_off():
                 await self._take_snapshot()
-            elif self._is_behind():
+                continue
+            self._taken = None
+            if self._is_behind():
                 # The source has not told this process yet, but it does answer.
                 await self._table_follower.read_again()
 
@@ -119,22 +124,40 @@
     async def _take_snapshot(self):
         informed = self._peers.informed_peers()
         if informed:
-            await self._take_from(informed[0], is_informed=True)
+            await self._take_unless_known(informed[0])
         elif self._knows_nothing():
             # The sources are away for everybody.  What others still serve by is better
             # than refusing everything until they are back.
             for address in self._peers.serving_peers()[:1]:
                 await self._take_from(address, is_informed=False)
 
+    async def _take_unless_known(self, address):
+        """Take the snapshot of an informed peer, unless it would tell nothing new.
+
+        Symptom without this: 35 of 99 entries that the store turns away each ask a peer
+        for half a megabyte (1,680 routes, 197 targets) every 0.4 s, 42 MB a second in
+        all (reckoned), over links of 20 to 40 Mbit/s.
+        """
+        state = self._peers.state_of(address)
+        told = None
+        if state is not None and state.listing is not None:
+            told = (state.table_version, state.listing.digest)
+        if told is not None and told == self._taken and not self._knows_nothing():
+            self.dependency.answered()
+            return
+        if await self._take_from(address, is_informed=True):
+            self._taken = told
+
     def _knows_nothing(self):
         return self._view.table is None or not self._targets.entries()
 
     async def _take_from(self, address, is_informed):
+        """Take a peer's snapshot; return whether it came."""
         try:
             snapshot = await self._fetch(address)
         except PlatformUnavailableError as error:
             self.dependency.failed(error)
-            return
+            return False
         if is_informed:
             self.dependency.answered()
         if snapshot.table is not None and self._view.advance(snapshot.table):
@@ -144,3 +167,4 @@
                 told_by=str(address),
             )
         self._targets.replace(snapshot.entries, is_sure=is_informed)
+        return True
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -180,8 +180,11 @@
         return max(versions, default=0)
 
     def informed_peers(self):
-        """Return the addresses of peers that know most, the newest version first."""
-        return _newest_first(
+        """Return the addresses of peers that know most, the newest version first.
+
+        Among those with the same one, hosts of the own failure domain come first.
+        """
+        return self._newest_first(
             one for one in self._summary().fresh_news if one.state.is_informed
         )
 
@@ -190,7 +193,7 @@
 
         They may be cut off from its source themselves.
         """
-        return _newest_first(
+        return self._newest_first(
             one for one in self._summary().fresh_news if one.state.table_version
         )
 
@@ -432,8 +435,18 @@
             self._known_summary = known
         return known
 
-
-def _newest_first(all_news):
-    """Return the senders of news, those with the newest configuration first."""
-    ranked = sorted(all_news, key=lambda news: news.state.table_version, reverse=True)
-    return [news.sender for news in ranked]
+    def state_of(self, address):
+        """Return the `HostState` that a peer told last, or None."""
+        peer = self._peers.get(address)
+        return None if peer is None or peer.news is None else peer.news.state
+
+    def _newest_first(self, all_news):
+        """Return the senders of news, those with the newest configuration first."""
+        ranked = sorted(
+            all_news,
+            key=lambda news: (
+                -news.state.table_version,
+                news.failure_domain != self._failure_domain,
+            ),
+        )
+        return [news.sender for news in ranked]
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -95,6 +95,7 @@
         self.describe = None
         self.take_listing = None
         self.reader = True
+        self.state = None
 
     async def run(self):
         """Exchange nothing."""
@@ -134,6 +135,10 @@
         """Return the peers that are said to have a configuration."""
         return self.serving
 
+    def state_of(self, address):
+        """Return what a peer is said to have told."""
+        return self.state
+
     def informed_peers(self):
         """Return the peers that are said to be informed."""
         return self.informed
--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -5,6 +5,7 @@
 import curio
 
 from siskinthread.gateway import StatusPage
+from siskinthread.peer_news import HostState, ListStatement
 from siskinthread.platform._snapshots import snapshot_page
 from siskinthread.platform._store import KeyedRecord
 from siskinthread.platform.tests.system import (
@@ -137,3 +138,34 @@
         return status_of(await system.request(SAFE_PATH))
 
     assert run_system(test) == 200
+
+
+def test_snapshot_that_would_tell_nothing_new_is_not_asked_for():
+    """Symptom: links of entry hosts are full of snapshots.
+
+    Events: the store turns a third of the hosts away for 9 s, with a configuration of
+    half a megabyte; each of them asks a peer for all of it every 0.4 s.  Cause: what
+    the peer tells in its news of the version and the list it has was not looked at.
+    """
+
+    async def test(system):
+        page = page_of(system, published(7), {OTHER: listed(system.servers[0])})
+        asked = []
+
+        async def serve(request, exchange):
+            asked.append(request.path)
+            await peer_handler(system, page)(request, exchange)
+
+        async with HttpServer(serve) as peer:
+            system.store.mode = "busy"
+            system.peers.state = HostState(7, True, {}, ListStatement(5, 99, 0.1))
+            system.peers.informed = [Address(peer.host, peer.port)]
+            await until(lambda: system.gateway.view.table.version == 7)
+            await curio.sleep(0.4)
+            once = len(asked)
+            system.peers.state = HostState(7, True, {}, ListStatement(6, 100, 0.1))
+            await until(lambda: len(asked) > once)
+            await curio.sleep(0.2)
+            return once, len(asked)
+
+    assert run_system(test) == (1, 2)
