Read the map again until it is read after a rank has started anew

Cause: found reading the diff: the new start was noted before the map was read, so that a failed read was not made again where the epoch has the same number. Change: the epoch is forgotten, and with it the map. Test: the first read fails.

--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -207,21 +207,9 @@
             self._epoch = None
             return False
         self._passes.note(report.pass_number, self._layout.report_lag_s)
-        starts_unix_ms = {one.rank: one.started_unix_ms for one in reports}
-        is_restarted = any(
-            self._starts_unix_ms.get(rank, start) != start
-            for rank, start in starts_unix_ms.items()
-        )
-        if is_restarted:
-            self._starts_unix_ms.clear()
-        self._starts_unix_ms |= starts_unix_ms
-        if (
-            report.epoch != self._epoch
-            or is_restarted
-            or (
-                report.map_version > self._map.version
-                and self._own_change_shown.passed()
-            )
+        self._note_starts(reports)
+        if report.epoch != self._epoch or (
+            report.map_version > self._map.version and self._own_change_shown.passed()
         ):
             await self._read_map()
         is_settled = report.map_version == self._map.version
@@ -243,6 +231,14 @@
                 self._epoch = None
         return False
 
+    def _note_starts(self, reports):
+        """Forget the epoch if a rank has started anew; its number may be the same."""
+        starts_unix_ms = {one.rank: one.started_unix_ms for one in reports}
+        for rank, start_unix_ms in starts_unix_ms.items():
+            if self._starts_unix_ms.get(rank, start_unix_ms) != start_unix_ms:
+                self._epoch = None
+        self._starts_unix_ms |= starts_unix_ms
+
     async def _read_map(self):
         held = await self._ranks.held_experts()
         epochs = {one.epoch for one in held}
--- a/siskinthread/group_maps/tests/test_duty.py
+++ b/siskinthread/group_maps/tests/test_duty.py
@@ -315,3 +315,59 @@
         return group.held_pass
 
     assert curio.run(main) is not None
+
+
+class StartingClient(CountingClient):
+    """A rank that states when it started, and counts how often its map is read."""
+
+    def __init__(self, group, number, holdings):
+        super().__init__(group, number, holdings)
+        self.started_unix_ms = 1_000
+        self.reads = 0
+        self.failing_reads = 0
+
+    async def report(self, wait_s):
+        """Report with the time of the start."""
+        report = await super().report(wait_s)
+        report.started_unix_ms = self.started_unix_ms
+        return report
+
+    async def held_experts(self, wait_s):
+        """Return the map, unless the read is to fail."""
+        self.reads += 1
+        if self.failing_reads:
+            self.failing_reads -= 1
+            raise TargetError("not yet")
+        return await super().held_experts(wait_s)
+
+
+def test_map_is_read_anew_when_a_rank_has_started_anew():
+    """Symptom: the map of an earlier start is taken for the one in force.
+
+    Events: all ranks start anew, with the same number of an epoch, and the first read
+    of their map fails.
+    """
+
+    async def main():
+        group = FakeGroup(RANKS)
+        duty, directory, _, clients = build(group)
+        for number, one in enumerate(list(clients)):
+            clients[one] = StartingClient(group, number, HOLDINGS)
+        first = clients["i-0"]
+        await directory.refresh([Entry("i-0"), Entry("i-1")])
+        await duty._renew()
+        await duty._reconcile()
+        async with curio.timeout_after(HANG_S):
+            while not first.reads:
+                await curio.sleep(0.005)
+            for client in clients.values():
+                client.started_unix_ms = 2_000
+            first.failing_reads = 1
+            while first.failing_reads:
+                await curio.sleep(0.005)
+            before = first.reads
+            while first.reads == before:
+                await curio.sleep(0.005)
+        await duty._stop_all()
+
+    curio.run(main)
