Tell silent hosts of the own domain once a second too

Cause: found reading the diff: since sums are told to other domains, a host told only those of its domain that it had heard of lately. After a cut of single hosts both sides would have been silent to each other for up to 8 s. Change: once a second all known hosts of the own domain are told. The test fails before.

--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -329,9 +329,23 @@
         if not self.is_crowded():
             await self._send_to({*self._peers, *self._first_peers})
             return
-        await self.tell_domain()
         if is_quiet_due:
+            await self._send_to(self._near_addresses())
             await self._tell_other_domains()
+        else:
+            await self.tell_domain()
+
+    def _near_addresses(self):
+        """Return all hosts of the own failure domain that are known, silent ones too.
+
+        Two hosts that have not heard of each other for a while would stay silent to
+        each other once the path between them is back.
+        """
+        return {
+            address
+            for address, peer in self._peers.items()
+            if peer.news is None or peer.news.failure_domain == self._failure_domain
+        }
 
     async def _tell_other_domains(self):
         """Tell hosts of other failure domains what is worth its way.
--- a/siskinthread/peer_news/tests/test_summary.py
+++ b/siskinthread/peer_news/tests/test_summary.py
@@ -129,3 +129,30 @@
         return indirect, news._socket.sent
 
     assert curio.run(main) == ([], ["10.0.0.5"])
+
+
+def test_hosts_that_were_cut_off_from_each_other_tell_each_other_again():
+    """Symptom: a host that is back from a cut knows no loads for 8 s.
+
+    Events: two hosts of a large domain do not hear of each other for 3 s.  Cause: only
+    hosts that were heard of lately were told.
+    """
+
+    async def main():
+        clock = ManualClock()
+        own = Address("10.0.0.1", 1)
+        news = PeerNews(SETTINGS, own, "a", [], clock, random.Random(1))
+        news.describe = lambda: HostState(3, True, {})
+        hosts = [
+            Address(f"10.0.0.{number}", 1)
+            for number in range(2, SETTINGS.peers_at_full_rate + 4)
+        ]
+        for host in hosts:
+            news._take(News(host, "a", HostState(3, True, {}), []))
+        clock.advance(3.0)
+        news._socket = NotingSocket()
+        await news._send_if_due()
+        return set(news._socket.sent), {host.host for host in hosts}
+
+    told, hosts = curio.run(main)
+    assert told == hosts
