--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -101,8 +101,10 @@
         ]
         candidates = apart or trusted
         if not candidates and not tried_ids:
-            # If all of them fail, one of them is still a better try than none.
-            candidates = [entry for entry in fresh if not self._declines(entry)]
+            # If all of them fail, one of them is still a better try than none: it may
+            # be back, and one that declines does so within milliseconds.  A second
+            # try is worth nothing then, and took 148 of 110 repeats that were allowed.
+            candidates = fresh
         if not candidates:
             message = f"All {len(serving)} targets fail or decline requests."
             return self._refusal(Reason.NO_TARGET, request, message)
@@ -166,14 +168,6 @@
             and not self._health.is_passed_over(entry.instance_id)
         ]
 
-    def _declines(self, entry):
-        """Return whether a target's whole group has just declined requests.
-
-        Until its failed rank is back, each of its ranks declines at once.  A second try
-        there was worth nothing and took 148 of 110 repeats that were allowed.
-        """
-        return self._health.is_group_passed_over(self.group_of(entry.instance_id))
-
     def _group_loads(self, serving):
         """Return the mean load of the targets of each group.
 
