Show which tries belong to one request, and whether a lost attempt's target has ended

Cause: the logs could not tell the incident's hypotheses apart. Each try of a caller has another id, and a lost attempt looked alike whether its target had ended or only cut off its streams since another rank of its group had. Change: a request's line has a fingerprint of its host, path, client account and body; a target that breaks an exchange off is looked at once, and a line tells if it has ended. No decision uses either yet. Conclusion: tries can be joined; the test that brings the fault about comes next.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from siskinthread.errors import ConnectionLostError, TargetError
+from siskinthread.errors import ConnectionLostError, TargetError, TargetSilentError
 from siskinthread.gateway._event_stream import EVENT_STREAM_TYPE, EventSplitter
 
 STATUS_OK = 200
@@ -75,6 +75,10 @@
         Whether a byte of the request was sent.
     load_when_chosen : int
         Requests that the target was believed to have.
+    is_broken_off : bool
+        Whether the target's side ended the exchange, rather than being silent.
+    has_target_ended : bool or None
+        Whether the target did not listen any more after that, once it was looked at.
     is_stale : bool
         Whether a kept connection ended before the answer; the target has probably
         closed it for its age, and is not to be blamed.
@@ -90,6 +94,8 @@
         "_request",
         "answer",
         "entry",
+        "has_target_ended",
+        "is_broken_off",
         "is_group_fault",
         "is_stale",
         "load_when_chosen",
@@ -109,6 +115,8 @@
         self.reason = ""
         self.written = False
         self._has_head = False
+        self.has_target_ended = None
+        self.is_broken_off = False
         self.is_group_fault = False
         self.is_stale = False
         self.load_when_chosen = parts.loads.total(entry.instance_id)
@@ -119,9 +127,11 @@
         try:
             await self._exchange()
         except ConnectionLostError as error:
+            self.is_broken_off = True
             self._break(str(error))
         except TargetError as error:
             self.written = True
+            self.is_broken_off = not isinstance(error, TargetSilentError)
             self._break(str(error))
         finally:
             # A connection that is still held has not finished its exchange.  Closing
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -3,6 +3,7 @@
 import json
 
 from siskinthread.gateway._attempt import Attempt, AttemptResult
+from siskinthread.gateway._target_end import has_ended
 from siskinthread.observability import part_logger
 from siskinthread.outcomes import End, Outcome, Reason
 
@@ -73,6 +74,7 @@
             attempt = Attempt(self._parts, self._request, chosen, self._reply)
             self._attempts.append(attempt)
             await attempt.run()
+            await self._look_at_target(attempt)
             self._note(attempt)
             if attempt.result is AttemptResult.ANSWERED:
                 return await self._answer(attempt)
@@ -89,10 +91,28 @@
                 "slots": attempt.entry.slot_count,
                 "result": attempt.result.value if attempt.result else "cancelled",
                 "reason": attempt.reason,
+                "target_ended": attempt.has_target_ended,
             }
             for attempt in self._attempts
         ]
 
+    async def _look_at_target(self, attempt):
+        """Find out whether the target of a lost attempt has ended.
+
+        A group of ranks cuts off all of its streams when one rank ends; only a look
+        at each target tells which one it was.
+        """
+        if attempt.result is not AttemptResult.LOST or not attempt.is_broken_off:
+            return
+        attempt.has_target_ended = await has_ended(attempt.entry, self._parts)
+        if attempt.has_target_ended:
+            _logger.event(
+                "target ended under a request",
+                target=attempt.entry.instance_id,
+                id=self._request.request_id,
+                fingerprint=self._request.fingerprint,
+            )
+
     def _note(self, attempt):
         instance_id = attempt.entry.instance_id
         is_late = self._request.deadline.passed()
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -1,5 +1,7 @@
 """A caller's request on its way through the gateway."""
 
+from siskinthread.poison_requests import fingerprint
+
 
 class RequestFacts:
     """What the headers of a request state.
@@ -54,6 +56,7 @@
     """
 
     __slots__ = (
+        "_fingerprint",
         "account",
         "body",
         "deadline",
@@ -75,12 +78,22 @@
         self.account = account
         self.table_version = table_version
         self.deadline = deadline
+        self._fingerprint = None
 
     @property
     def request_id(self):
         """The caller's id of this attempt."""
         return self.facts.request_id
 
+    @property
+    def fingerprint(self):
+        """What all tries of its caller at this request have in common."""
+        if self._fingerprint is None:
+            caller = self.account.name if self.account else self.facts.api_key or ""
+            host = self.head.value("host") or ""
+            self._fingerprint = fingerprint(host, self.head.target, caller, self.body)
+        return self._fingerprint
+
     @property
     def kind(self):
         """What may be repeated, a `RequestKind`."""
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -174,6 +174,7 @@
             fields["first_bytes_s"] = round(first_s, 3)
             fields["longest_pause_s"] = round(reply.longest_pause_s, 3)
         if request is not None:
+            fields["fingerprint"] = request.fingerprint
             fields["version"] = request.table_version
             if request.account is not None:
                 fields["account"] = request.account.name
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -258,6 +258,14 @@
         description="Part of the budget of repeats that is used. The rest is for "
         "entries that were not known to others when they divided it.",
     )
+    end_check_limit_s = Item(
+        float,
+        default=0.1,
+        minimum=0.0,
+        description="Longest wait for whether a target that broke an exchange off "
+        "still listens. Hosts are less than 15 ms apart, and one whose process has "
+        "ended refuses at once.",
+    )
     ejection_s = Item(
         float,
         default=1.0,
--- /dev/null
+++ b/siskinthread/poison_requests/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the guard against requests under which targets end."""
--- a/siskinthread/tracing/_trace.py
+++ b/siskinthread/tracing/_trace.py
@@ -47,6 +47,8 @@
             f"{request['account']}, configuration {request['version']}, confirmed "
             f"{request['configuration_age_s']} s before"
         )
+        if request.get("fingerprint"):
+            lines.append(f"  fingerprint of all its tries: {request['fingerprint']}")
         if "first_bytes_s" in request:
             lines.append(
                 f"  first bytes after {request['first_bytes_s']} s, longest pause "
@@ -117,6 +119,8 @@
     text += f": {attempt['result']}"
     if attempt["reason"]:
         text += f", {attempt['reason']}"
+    if attempt.get("target_ended"):
+        text += "; the target has ended"
     return text
 
 
--- a/siskinthread/tracing/tests/test_trace.py
+++ b/siskinthread/tracing/tests/test_trace.py
@@ -79,3 +79,12 @@
     """The same as one document."""
     document = json.loads(find_request(LINES, "id-2").as_json())
     assert document["request"]["id"] == "id-2"
+
+
+def test_rendering_names_what_joins_the_tries_of_a_request():
+    """A caller's tries have an id each; only the fingerprint joins them."""
+    values = request(100.0, "id-1", fingerprint="5f0c")
+    values["attempts"][0]["target_ended"] = True
+    text = find_request([json.dumps(values)], "id-1").render()
+    assert "fingerprint of all its tries: 5f0c" in text
+    assert "lost, connection failed; the target has ended" in text
--- a/standins/platform_behaviours.py
+++ b/standins/platform_behaviours.py
@@ -10,6 +10,9 @@
 READ_SIZE_BYTES = 65_536
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 CLOSE = object()
+# How long a server works on a request that ends it.
+CRASH_AFTER_S = 0.01
+FOR_EVER_S = 3600.0
 
 
 def answer_bytes(request_id, status="200 OK", body=b"done\n", headers=()):
@@ -97,6 +100,13 @@
     return CLOSE
 
 
+async def end_under_request(server, request, client):
+    """Begin to run the request, and end before the answer."""
+    await curio.sleep(CRASH_AFTER_S)
+    await curio.spawn(server.end, daemon=True)
+    await curio.sleep(FOR_EVER_S)
+
+
 async def cut_answer(server, request, client):
     """Close within the body."""
     await client.sendall(answer_bytes(request.request_id, headers=sealed())[:-2])
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -72,6 +72,8 @@
         ``async behaviour(server, request, client)`` for each of the next requests.
     closed_early : curio.Event
         Set when a caller closes its connection while a request runs.
+    is_up : bool
+        Whether it listens.
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         "connection_count",
         "host",
         "instance_id",
+        "is_up",
         "port",
         "seen",
     )
@@ -94,6 +97,7 @@
         self.behaviours = deque()
         self.closed_early = curio.Event()
         self.connection_count = 0
+        self.is_up = True
         self._listener = curio.tcp_server_socket(host, port)
         self._task = None
         self.host, self.port = self._listener.getsockname()
@@ -109,6 +113,19 @@
         """Serve until cancelled."""
         await curio.network.run_server(self._listener, self.serve)
 
+    async def end(self):
+        """End as a process does: nothing listens, and all connections are closed."""
+        self.is_up = False
+        await self._task.cancel()
+
+    async def start_again(self, instance_id):
+        """Start anew at the same address, under another id and with nothing known."""
+        self.instance_id = instance_id
+        self.behaviours.clear()
+        self._listener = curio.tcp_server_socket(self.host, self.port)
+        self._task = await curio.spawn(self.run)
+        self.is_up = True
+
     async def serve(self, client, address):
         """Serve one connection."""
         self.connection_count += 1
