Test requests that end servers over restarts, cuts, bystanders and bounds

Cause: the mend was tested only on entries that hear of one another all the time. Ruled out: a fault of the mend in two tests that failed first; they asked with another path than the one that had ended servers, which is another request. Change: tests of entries that all start again, join late, are turned away by the store or hear of no other; of both sides of a cut; of many tries at once; of other callers, streams beside the request, servers that break off and go on or leave; of the register's bounds and that registers agree however they hear.

--- a/siskinthread/platform/tests/fleet.py
+++ b/siskinthread/platform/tests/fleet.py
@@ -30,6 +30,7 @@
 
 HANG_S = 60.0
 LOOPBACK = "127.0.0.1"
+NOWHERE = Address(LOOPBACK, 1)
 POISON = b"ends each server that runs it"
 STREAM_MARK = "/stream/"
 RESTART_AFTER_S = 0.2
@@ -54,8 +55,8 @@
 
 
 async def serve_or_end(server, request, client):
-    """Serve any request but the poison, under which the server ends."""
-    if request.body == POISON:
+    """Serve any request but the first account's poison, under which the server ends."""
+    if request.body == POISON and request.headers["x-tenant"] == TENANTS[0]["name"]:
         return await faults.end_under_request(server, request, client)
     if STREAM_MARK in request.line:
         return await faults.stream(1, 5, gap_s=0.01)(server, request, client)
@@ -71,22 +72,29 @@
         What it shares with the others.
     news_address : siskinthread.settings.Address
         Where it takes news.
+    is_lonely : bool
+        Whether it and the others don't hear of one another.
+
+    Attributes
+    ----------
+    suspects_address : siskinthread.settings.Address
+        Where it finds the store for requests under which servers end.
     """
 
-    def __init__(self, fleet, news_address):
+    def __init__(self, fleet, news_address, is_lonely):
         self._fleet = fleet
         self._news_address = news_address
         self._tasks = []
         self.gateway = None
         self.address = None
-        self.first_peers = fleet.news_addresses[:1]
-        self.store_address = fleet.store_address
+        self._first_peers = [] if is_lonely else fleet.news_addresses[:1]
+        self.suspects_address = fleet.store_address
 
     async def start(self):
         """Start a process that knows nothing."""
         metrics = Metrics()
         calls = metrics.counter("calls", "Calls.", ("call",))
-        store = StoreClient(self.store_address, STORE_WAIT_S, calls)
+        store = StoreClient(self._fleet.store_address, STORE_WAIT_S, calls)
         self.gateway = Gateway(
             GATEWAY_SETTINGS,
             "a",
@@ -101,13 +109,14 @@
             NEWS_SETTINGS,
             self._news_address,
             "a",
-            self.first_peers,
+            self._first_peers,
             SYSTEM_CLOCK,
             random.Random(1),
         )
         self.gateway.hear_peers(peers, fetch_soon)
         memory_s = GATEWAY_SETTINGS.poison.memory_s
-        self.gateway.keep_suspects(StoredSuspects(store, SYSTEM_CLOCK, memory_s))
+        suspects = StoreClient(self.suspects_address, STORE_WAIT_S, calls)
+        self.gateway.keep_suspects(StoredSuspects(suspects, SYSTEM_CLOCK, memory_s))
         listening = curio.tcp_server_socket(LOOPBACK, 0)
         self.address = listening.getsockname()
         runs = [*self.gateway.tasks().values()]
@@ -156,6 +165,19 @@
         self._number += 1
         return self._number
 
+    async def join(self, news_address=None, is_lonely=False):
+        """Start one more entry."""
+        if news_address is None:
+            [news_address] = _free_addresses(1)
+        entry = Entry(self, news_address, is_lonely)
+        self.entries.append(entry)
+        await entry.start()
+
+    async def stop_entries(self):
+        """End all entries."""
+        for entry in self.entries:
+            await entry.stop()
+
     async def keep_servers(self):
         """Start servers that have ended again, each under another id."""
         while True:
@@ -179,18 +201,28 @@
         return sum(request.body == body for request in seen)
 
 
-def run_fleet(test, entry_count=3, server_count=8):
-    """Run an async test with a `Fleet` whose parts have started."""
+def run_fleet(test, entry_count=3, lonely_count=0, server_count=8):
+    """Run an async test with a `Fleet` whose parts have started.
+
+    Parameters
+    ----------
+    test : callable
+        Coroutine function that takes the fleet.
+    entry_count, lonely_count : int
+        Entries that hear of one another, and others that hear of none.
+    server_count : int
+        Servers.
+    """
 
     async def main():
-        async with _running(entry_count, server_count) as fleet:
+        async with _running(entry_count, lonely_count, server_count) as fleet:
             return await curio.timeout_after(HANG_S, test, fleet)
 
     return curio.run(main)
 
 
 @asynccontextmanager
-async def _running(entry_count, server_count):
+async def _running(entry_count, lonely_count, server_count):
     fleet = Fleet()
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(HttpServer(fleet.store.handle))
@@ -203,11 +235,11 @@
         keeping = await curio.spawn(fleet.keep_servers)
         stack.push_async_callback(keeping.cancel)
         fleet.news_addresses = _free_addresses(entry_count)
+        stack.push_async_callback(fleet.stop_entries)
         for address in fleet.news_addresses:
-            entry = Entry(fleet, address)
-            fleet.entries.append(entry)
-            stack.push_async_callback(entry.stop)
-            await entry.start()
+            await fleet.join(address)
+        for address in _free_addresses(lonely_count):
+            await fleet.join(address, is_lonely=True)
         yield fleet
 
 
