Soak requests under which servers end, and fit suspects into a datagram

Cause: no long run had a request that ends servers, so that none could have shown the fault; and what is told of suspected requests could make a datagram too large to be read where there are many targets (9.4 KB of 8.2 KB reckoned with 192). Ruled out: seeing an end through a relay that goes on listening; relays before servers now refuse while their server is down, as the server itself would. Change: stand-in servers end under a marked body and start again; none to two callers a seed send such a request to gateways in turn or all at once; two more promises (not kept off, refused for another). News leave suspected requests out until they fit.

--- a/scripts/_fault_proxy.py
+++ b/scripts/_fault_proxy.py
@@ -10,6 +10,9 @@
 - ``POST /link`` with ``delay_ms`` and ``cut``, a list of ``"to"`` and ``"from"``: what
   goes that way is held until the cut ends;
 - ``GET /counts``.
+
+With ``--refuse`` a relay does not listen while nothing does where it relays to, as if
+callers connected there themselves.
 """
 
 import argparse
@@ -17,12 +20,12 @@
 import struct
 
 import curio
-from curio.network import run_server
 
 from standins._http_server import HttpServer
 
 RECEIVE_SIZE_BYTES = 64 * 1024
 CUT_POLL_S = 0.01
+BACK_POLL_S = 0.05
 MILLISECONDS_PER_SECOND = 1000
 # Linger for no time: closing sends a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -61,9 +64,13 @@
     ----------
     host, port : str, int
         IP number and TCP port to relay to.
+    refuses : bool
+        Whether it does not listen while nothing listens there.
 
     Attributes
     ----------
+    address : tuple
+        IP number and TCP port on which it listens.
     delay_s : float
         Time by which each piece is held up.
     cut : set of str
@@ -71,30 +78,71 @@
     """
 
     __slots__ = (
+        "_accepting",
         "_connections",
         "_host",
+        "_listener",
         "_port",
+        "_refuses",
         "accepted",
+        "address",
         "cut",
         "delay_s",
         "silenced",
     )
 
-    def __init__(self, host, port):
+    def __init__(self, host, port, refuses=False):
         self._host = host
         self._port = port
+        self._refuses = refuses
+        self._listener = curio.tcp_server_socket("127.0.0.1", 0)
+        self.address = self._listener.getsockname()
         self._connections = []
+        self._accepting = None
         self.accepted = 0
         self.silenced = 0
         self.delay_s = 0.0
         self.cut = set()
 
-    async def serve(self, client, address):
+    async def run(self):
+        """Relay until cancelled."""
+        while True:
+            self._accepting = await curio.spawn(self._accept_forever, daemon=True)
+            await self._accepting.wait()
+            while not await self._is_up():
+                await curio.sleep(BACK_POLL_S)
+            self._listener = curio.tcp_server_socket(*self.address)
+
+    async def _accept_forever(self):
+        async with self._listener:
+            while True:
+                client, _ = await self._listener.accept()
+                await curio.spawn(self._serve, client, daemon=True)
+
+    async def _is_up(self):
+        try:
+            probe = await curio.open_connection(self._host, self._port)
+        except OSError:
+            return False
+        await probe.close()
+        return True
+
+    async def _refuse_if_down(self):
+        """Stop listening if nothing listens where it relays to."""
+        if self._refuses and not await self._is_up():
+            await self._accepting.cancel()
+
+    async def _serve(self, client):
+        async with client:
+            await self._relay(client)
+
+    async def _relay(self, client):
         """Relay one connection in both directions."""
         self.accepted += 1
         try:
             server = await curio.open_connection(self._host, self._port)
         except OSError:
+            await self._refuse_if_down()
             return
         connection = RelayedConnection(client, server)
         self._connections.append(connection)
@@ -138,10 +186,12 @@
                     # on the other side must find out by itself.
                     await curio.Event().wait()
                 if not data:
-                    return
+                    break
                 await sink.sendall(data)
         except OSError:
-            return
+            pass
+        if direction == FROM:
+            await self._refuse_if_down()
 
 
 async def control(relays, request, exchange):
@@ -163,12 +213,11 @@
     async with curio.TaskGroup() as group:
         for address in options.to:
             host, _, port = address.rpartition(":")
-            relay = Relay(host, int(port))
+            relay = Relay(host, int(port), options.refuse)
             relays.append(relay)
-            listener = curio.tcp_server_socket("127.0.0.1", 0)
-            listen_host, listen_port = listener.getsockname()
+            listen_host, listen_port = relay.address
             print(f"listening {listen_host}:{listen_port}", flush=True)
-            await group.spawn(run_server, listener, relay.serve)
+            await group.spawn(relay.run)
 
         async def handle(request, exchange):
             await control(relays, request, exchange)
@@ -183,6 +232,9 @@
     parser.add_argument(
         "--to", action="append", required=True, help="HOST:PORT to relay to"
     )
+    parser.add_argument(
+        "--refuse", action="store_true", help="don't listen while nothing does there"
+    )
     curio.run(_run, parser.parse_args())
 
 
--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -16,7 +16,7 @@
 
 from scripts._processes import Interrupted, interruptible, Processes, StartError
 from scripts._progress import Progress
-from scripts.soak._callers import Balancer, Caller, Prober
+from scripts.soak._callers import Balancer, Caller, EndingCaller, Prober
 from scripts.soak._faults import Faults
 from scripts.soak._plan import draw_plan
 from scripts.soak._promises import broken_promises
@@ -34,6 +34,8 @@
 MEMORY_LIMIT_KB = 44_000
 # More than there are callers, so that no two seeds share the draws of one.
 MANY_CALLERS = 10_000
+# Each of them ends three servers; a seed has none to two.
+MOST_ENDING_CALLERS = 2
 BROKEN_SHOWN = 12
 
 
@@ -50,6 +52,7 @@
     background = [
         await curio.spawn(balancer.keep_checking, daemon=True),
         await curio.spawn(system.keep_reporting, daemon=True),
+        await curio.spawn(system.keep_servers_up, daemon=True),
     ]
     async with curio.TaskGroup(wait=all) as group:
         await group.spawn(Faults(system).run, plan, started_s)
@@ -58,6 +61,9 @@
         for number in range(CALLERS_PER_GATEWAY * options.gateways):
             caller = Caller(balancer, records, seed * MANY_CALLERS + number)
             await group.spawn(caller.run, ends_s)
+        for number in range(seed % (1 + MOST_ENDING_CALLERS)):
+            caller = EndingCaller(balancer, records, seed * MANY_CALLERS + number)
+            await group.spawn(caller.run, ends_s)
     for task in background:
         await task.cancel()
     # What servers do for callers that left at the very end must be over by then.
--- a/scripts/soak/_callers.py
+++ b/scripts/soak/_callers.py
@@ -9,6 +9,7 @@
 from scripts._platform_files import CALLER_HOST
 from scripts.soak._records import CallRecord, Probe
 from scripts.soak._system import ACCOUNT_KEY, key_of, ROUTE_TIMEOUT_S
+from standins.platform_service import ENDING_MARK
 
 DEADLINE_MS = 4000
 # Callers listen on for a while, so that an answer that comes too late is seen.
@@ -19,6 +20,10 @@
 LEAVES_AFTER_S = (0.02, 0.2)
 LONGEST_PAUSE_S = 0.25
 REQUESTS_PER_CONNECTION = 12
+# The first try of a request under which servers end, and the pause before the next.
+FIRST_TRY_AFTER_S = (0.5, 8.0)
+TRY_PAUSE_S = (0.2, 1.5)
+AT_ONCE_SHARE = 0.2
 CHECK_INTERVAL_S = 1.0
 MISSES_LIMIT = 2
 PROBE_INTERVAL_S = 0.25
@@ -127,6 +132,62 @@
             await self._connection.close()
 
 
+class EndingCaller:
+    """Sends one request under which servers end, again and again.
+
+    Parameters
+    ----------
+    balancer : Balancer
+        Chooses the gateway of each try.
+    records : Records
+        Where the tries are noted.
+    seed : int
+        For everything that varies.
+    """
+
+    __slots__ = ("_balancer", "_body", "_kind", "_random", "_records")
+
+    def __init__(self, balancer, records, seed):
+        self._balancer = balancer
+        self._records = records
+        self._random = random.Random(seed)
+        self._kind = self._random.choice(KINDS)
+        self._body = ENDING_MARK + f" of {seed}".encode()
+
+    async def run(self, ends_s):
+        """Try until a time, monotonic seconds; at times at all gateways at once."""
+        await curio.sleep(self._random.uniform(*FIRST_TRY_AFTER_S))
+        while time.monotonic() < ends_s:
+            gateways = self._balancer.in_rotation()
+            if self._random.random() > AT_ONCE_SHARE:
+                gateways = [self._random.choice(gateways)]
+            async with curio.TaskGroup(wait=all) as group:
+                for gateway in gateways:
+                    await group.spawn(self._try, gateway)
+            await curio.sleep(self._random.uniform(*TRY_PAUSE_S))
+
+    async def _try(self, gateway):
+        request_id = f"ending-{self._records.next_number()}"
+        connection = CallerConnection(gateway.callers, CALLER_HOST)
+        started_s = time.monotonic()
+        path = PATHS[self._kind]
+        answer = await connection.call(
+            "POST", path, _headers(request_id, ACCOUNT_KEY), self._body, ANSWER_WAIT_S
+        )
+        await connection.close()
+        record = CallRecord(
+            request_id,
+            self._kind,
+            path,
+            gateway.name,
+            answer,
+            started_s,
+            time.monotonic(),
+            ending_body=self._body,
+        )
+        self._records.calls.append(record)
+
+
 class Prober:
     """Asks a gateway with the keys of the newest two versions.
 
--- a/scripts/soak/_promises.py
+++ b/scripts/soak/_promises.py
@@ -20,6 +20,8 @@
 REGRESS_S = 0.25
 MEASURING_S = 0.2
 SERVED_AT_THE_END = 0.9
+ENDED_SERVERS_LIMIT = 3
+TRIES_AFTER_LIMIT = 3
 STORE = ("store", "store")
 
 
@@ -151,7 +153,8 @@
             gateway = gateways.get(run["request_id"])
             if gateway is None or run["arrived_s"] <= limit_s:
                 continue
-            if _is_in_touch_with_store(records, gateway, leaving, run["arrived_s"]):
+            since_s = leaving.confirmed_s
+            if _is_in_touch_with_store(records, gateway, since_s, run["arrived_s"]):
                 # Its leaving is itself a disturbance of the server; its link's are
                 # told by when the request arrived, late ones are not counted.
                 late_s = run["arrived_s"] - leaving.confirmed_s
@@ -208,6 +211,48 @@
     return broken
 
 
+def not_kept_off(records, runs):
+    """Requests under which three servers have ended, and that go on to reach others.
+
+    Three tries more may arrive: they, or what is known of them, were under way.
+    """
+    tries = {call.request_id: call for call in records.calls if call.ending_body}
+    arrivals = collections.defaultdict(list)
+    for end in records.server_ends:
+        call = tries[end.request_id]
+        arrivals[call.kind, call.ending_body].append((end.arrived_s, call, True))
+    for of_server in records.runs.values():
+        for run in of_server:
+            call = tries.get(run["request_id"])
+            if call is not None:
+                key = call.kind, call.ending_body
+                arrivals[key].append((run["arrived_s"], call, False))
+    broken = []
+    for (kind, body), of_request in arrivals.items():
+        ends_s = sorted(at_s for at_s, _, has_ended in of_request if has_ended)
+        if len(ends_s) < ENDED_SERVERS_LIMIT:
+            continue
+        third_s = ends_s[ENDED_SERVERS_LIMIT - 1]
+        later = [
+            call
+            for at_s, call, _ in of_request
+            if call.started_s > third_s + STABLE_WINDOW_S
+            and _is_in_touch_with_store(records, call.gateway, call.started_s, at_s)
+        ]
+        if len(later) > TRIES_AFTER_LIMIT:
+            broken.append(f"{len(later)} tries after 3 ends: {kind} {body}, {later[0]}")
+    return broken
+
+
+def refused_for_another(records, runs):
+    """Requests that end no server, and that are refused as if they did."""
+    return [
+        f"refused as if it ended servers: {call}"
+        for call in records.calls
+        if not call.ending_body and b"ends_targets" in call.answer.body
+    ]
+
+
 def not_recovered(records, recovered_s):
     """Whether most requests are served once everything is back.
 
@@ -221,7 +266,7 @@
     calls = [
         call
         for call in records.calls
-        if call.started_s >= recovered_s and not call.left
+        if call.started_s >= recovered_s and not call.left and not call.ending_body
     ]
     served = sum(call.is_served for call in calls)
     if calls and served >= SERVED_AT_THE_END * len(calls):
@@ -242,6 +287,8 @@
     configuration_late,
     configuration_regressed,
     worked_on_for_nobody,
+    not_kept_off,
+    refused_for_another,
 )
 
 
@@ -271,8 +318,7 @@
     )
 
 
-def _is_in_touch_with_store(records, gateway, leaving, until_s):
-    since_s = leaving.confirmed_s
+def _is_in_touch_with_store(records, gateway, since_s, until_s):
     is_store_calm = records.disruptions.is_calm(STORE, since_s, until_s)
     return is_store_calm and _is_in_touch(records, gateway, since_s, until_s)
 
--- a/scripts/soak/_records.py
+++ b/scripts/soak/_records.py
@@ -59,11 +59,14 @@
         When the caller began and ended, monotonic seconds.
     left : bool
         Whether the caller meant to leave before the end.
+    ending_body : bytes
+        Body under which servers end, if it had one; all tries with it are one request.
     """
 
     __slots__ = (
         "answer",
         "ended_s",
+        "ending_body",
         "gateway",
         "kind",
         "left",
@@ -73,7 +76,16 @@
     )
 
     def __init__(
-        self, request_id, kind, path, gateway, answer, started_s, ended_s, left
+        self,
+        request_id,
+        kind,
+        path,
+        gateway,
+        answer,
+        started_s,
+        ended_s,
+        left=False,
+        ending_body=b"",
     ):
         self.request_id = request_id
         self.kind = kind
@@ -83,6 +95,7 @@
         self.started_s = started_s
         self.ended_s = ended_s
         self.left = left
+        self.ending_body = ending_body
 
     @property
     def is_served(self):
@@ -170,12 +183,31 @@
         self.confirmed_s = confirmed_s
 
 
+class ServerEnd:
+    """A server that has ended under a request.
+
+    Parameters
+    ----------
+    instance_id, request_id : str
+        The server, and the request.
+    arrived_s : float
+        When the request arrived there, monotonic seconds.
+    """
+
+    __slots__ = ("arrived_s", "instance_id", "request_id")
+
+    def __init__(self, instance_id, request_id, arrived_s):
+        self.instance_id = instance_id
+        self.request_id = request_id
+        self.arrived_s = arrived_s
+
+
 class Records:
     """Everything that a run has noted.
 
     Attributes
     ----------
-    calls, probes, publications, leavings : list
+    calls, probes, publications, leavings, server_ends : list
         See the classes.
     runs : dict of str to list
         What each server start has run, by instance id, as JSON values.
@@ -198,6 +230,7 @@
         "probes",
         "publications",
         "runs",
+        "server_ends",
         "server_of",
         "troubles",
     )
@@ -208,6 +241,7 @@
         self.probes = []
         self.publications = []
         self.leavings = []
+        self.server_ends = []
         self.runs = {}
         self.server_of = {}
         self.faults = []
--- a/scripts/soak/_system.py
+++ b/scripts/soak/_system.py
@@ -1,5 +1,6 @@
 """The processes of a run: store, servers, gateways and the relays between them."""
 
+import json
 import os
 import sys
 import time
@@ -17,7 +18,7 @@
     settings_text,
 )
 from scripts._processes import free_ports, StartError
-from scripts.soak._records import Leaving, Publication
+from scripts.soak._records import Leaving, Publication, ServerEnd
 
 LOOPBACK = "127.0.0.1"
 TARGETS_TOPIC = "keyed.servers"
@@ -30,6 +31,8 @@
 LAPSE_S = 3.0
 CALL_WAIT_S = 1.0
 RETRY_S = 0.05
+# After so long a server that has ended by itself is there again.
+START_AGAIN_S = 1.0
 # How long a server that leaves goes on serving after the store has confirmed it.
 SERVE_ON_S = 3.0
 DOMAINS = ("a", "b")
@@ -165,7 +168,10 @@
         self.store = store.read_address()
         await self.publish()
         for server in self.servers:
-            [server.relayed] = self._relay(server, [(LOOPBACK, server.port)])
+            # A server that has ended refuses connections, also to its relay.
+            [server.relayed] = self._relay(
+                server, [(LOOPBACK, server.port)], ["--refuse"]
+            )
             self.start_server(server)
         await self.report_all()
         for gateway in self.gateways:
@@ -211,6 +217,40 @@
         server.process.read_address()
         server.is_down = False
 
+    async def keep_servers_up(self):
+        """Start servers that have ended by themselves again, until cancelled."""
+        while True:
+            await curio.sleep(RETRY_S)
+            for server in self.servers:
+                has_ended = server.process is not None and not server.process.running()
+                if has_ended and not server.is_down:
+                    server.is_down = True
+                    await curio.spawn(self._start_again, server, daemon=True)
+
+    async def _start_again(self, server):
+        """Note what a server has ended under, and start it after a pause."""
+        async with server.lock:
+            old_id = server.instance_id
+            self._note_end(server)
+            subject = ("server", server.name)
+            span = self.records.disruptions.begin(subject, time.monotonic())
+            await curio.sleep(START_AGAIN_S)
+            self.start_server(server)
+            self.records.disruptions.end(span, time.monotonic())
+        await curio.sleep(LAPSE_S)
+        await self.drop(old_id)
+
+    def _note_end(self, server):
+        lines = server.process.log_path.read_text(errors="replace").splitlines()
+        told = [line for line in lines if line.startswith('{"ended_under"')]
+        if not told:
+            self.records.troubles.append(f"{server.name} ended by itself")
+            return
+        end = json.loads(told[-1])
+        self.records.server_ends.append(
+            ServerEnd(server.instance_id, end["ended_under"], end["arrived_s"])
+        )
+
     async def until_ready(self, gateway):
         """Wait until a gateway says that it is ready."""
         deadline_s = time.monotonic() + 10.0
@@ -308,10 +348,10 @@
         command = [sys.executable, "-m", module, *options]
         return self._processes.start(name, command, states_address=True)
 
-    def _relay(self, node, addresses):
+    def _relay(self, node, addresses, options=()):
         """Start the relays of a node; return where each of them listens."""
         command = [sys.executable, "-m", "scripts._fault_proxy"]
-        command += ["--control-port", str(node.control[1])]
+        command += ["--control-port", str(node.control[1]), *options]
         for host, port in addresses:
             command += ["--to", f"{host}:{port}"]
         process = self._processes.start(f"relay-{node.name}", command, True)
--- a/scripts/soak/tests/test_promises.py
+++ b/scripts/soak/tests/test_promises.py
@@ -4,7 +4,14 @@
 
 from scripts._caller_http import RawAnswer
 from scripts.soak import _promises
-from scripts.soak._records import CallRecord, Leaving, Probe, Publication, Records
+from scripts.soak._records import (
+    CallRecord,
+    Leaving,
+    Probe,
+    Publication,
+    Records,
+    ServerEnd,
+)
 from standins.platform_service import expected_body
 
 GATEWAY = "gateway-0"
@@ -45,9 +52,32 @@
     return values | fields
 
 
-def records(calls=(), runs=(), probes=(), publications=(), leavings=()):
+def ending_calls(count, started_s):
+    """Return tries of one request under which servers end."""
+    return [
+        CallRecord(
+            f"ending-{number}",
+            "safe",
+            "/safe/x",
+            GATEWAY,
+            answer(status=502),
+            started_s + number,
+            started_s + number + 0.1,
+            ending_body=b"ends",
+        )
+        for number in range(count)
+    ]
+
+
+def ends_of(calls):
+    """Return the end of a server under each of some requests."""
+    return [ServerEnd("i-1", one.request_id, one.started_s) for one in calls]
+
+
+def records(calls=(), runs=(), probes=(), publications=(), leavings=(), ends=()):
     """Return the records of a run with one server."""
     noted = Records()
+    noted.server_ends += ends
     noted.calls += calls
     noted.probes += probes
     noted.publications += publications
@@ -68,6 +98,9 @@
     assert _promises.broken_promises(noted, AT_S) == []
 
 
+# Three tries end servers, four more do so later than it takes to tell all gateways.
+ENDING = ending_calls(12, AT_S)
+LATE_ENDS = ends_of(ENDING[:3] + ENDING[7:11])
 LOST = answer(status=None, whole=False)
 REFUSED = answer(status=503)
 BROKEN = {
@@ -94,6 +127,10 @@
     "worked_on_for_nobody": records(
         [call("safe", LOST, left=True)], [run(ended_s=AT_S + 2)]
     ),
+    "not_kept_off": records(ENDING, ends=LATE_ENDS),
+    "refused_for_another": records(
+        [call(seen=answer(status=503, body=b'{"reason": "ends_targets"}'))]
+    ),
 }
 
 
@@ -128,6 +165,12 @@
         noted.disruptions.end(span, AT_S - 90)
 
 
+def test_few_tries_after_the_third_end_may_arrive():
+    """Tries that are under way, and those of gateways that were just told."""
+    noted = records(ENDING, ends=LATE_ENDS[:-1])
+    assert broken(_promises.not_kept_off, noted) == []
+
+
 def test_planned_stop_excuses_no_lost_answer():
     """Symptom: a request is cut off by an upgrade."""
     noted = records([call(seen=LOST)], [run()])
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import math
 
 from siskinthread.errors import ProtocolError
 from siskinthread.poison_requests import SuspectStatement
@@ -155,8 +156,23 @@
         self.state = state
         self.peers = peers
 
-    def encode(self):
-        """Return the datagram."""
+    def encode(self, limit_bytes=math.inf):
+        """Return the datagram.
+
+        Parameters
+        ----------
+        limit_bytes : float
+            Its largest size; suspected requests that don't fit are left out, the last
+            ones first.  One that is cut off by its size would bring no news at all.
+        """
+        suspects = self.suspects
+        data = self._encode_with(suspects)
+        while len(data) > limit_bytes and suspects:
+            suspects = suspects[: len(suspects) // 2]
+            data = self._encode_with(suspects)
+        return data
+
+    def _encode_with(self, suspects):
         state = self.state
         document = {
             "sender": str(self.sender),
@@ -180,10 +196,8 @@
             document["accounts"] = state.account_counts
         if state.listing is not None:
             document["listing"] = _encode_listing(state.listing)
-        if self.suspects:
-            document["suspects"] = {
-                one.fingerprint: one.as_rows() for one in self.suspects
-            }
+        if suspects:
+            document["suspects"] = {one.fingerprint: one.as_rows() for one in suspects}
         return json.dumps(document, separators=(",", ":")).encode()
 
     @classmethod
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -444,7 +444,7 @@
             self._some_peers(),
             self.link_mbps,
             self._suspects_due,
-        ).encode()
+        ).encode(self._settings.size_limit_bytes)
         await self._send_data(addresses, data)
 
     async def _send_data(self, addresses, data):
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -1,5 +1,6 @@
 """News between entry hosts over loopback."""
 
+import json
 import random
 
 import curio
@@ -14,6 +15,7 @@
     PeerNews,
     PeerNewsSettings,
 )
+from siskinthread.poison_requests import EndStatement, SuspectStatement
 from siskinthread.settings import Address
 from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
@@ -265,3 +267,46 @@
     assert not news.is_among_first(1)
     news.describe = lambda: HostState(1, True, {})
     assert news.is_among_first(1)
+
+
+def suspects(count):
+    """Return statements on requests under which targets have ended."""
+    ends = [EndStatement(f"{number:08x}", 1.5, number > 6) for number in range(8)]
+    return [SuspectStatement(f"{number:024x}", ends) for number in range(count)]
+
+
+def test_suspected_requests_survive_the_way():
+    """What peers are told of requests that end targets is what was known."""
+    address = Address("10.0.0.1", 1)
+    told = News(address, "a", HostState(1, True, {}), [], suspects=suspects(3))
+    read = News.decode(told.encode())
+    assert [one.key() for one in read.suspects] == [one.key() for one in suspects(3)]
+
+
+def test_news_that_would_not_fit_leave_suspected_requests_out():
+    """Symptom: with many targets, peers hear nothing at all while servers end.
+
+    Events: the counts of 192 targets and 16 suspected requests are more than a datagram
+    may hold; cut off by its size, it can't be read.
+    """
+    counts = {f"i-{number:010x}@1781159968551": 12 for number in range(192)}
+    state = HostState(1, True, counts)
+    address = Address("10.0.0.1", 1)
+    told = News(address, "a", state, [], suspects=suspects(16))
+    limit_bytes = PeerNewsSettings().size_limit_bytes
+    data = told.encode(limit_bytes)
+    assert len(told.encode()) > limit_bytes >= len(data)
+    read = News.decode(data)
+    assert read.state.counts == counts
+    first = [one.key() for one in suspects(16)]
+    assert read.suspects
+    assert [one.key() for one in read.suspects] == first[: len(read.suspects)]
+
+
+@pytest.mark.parametrize("value", [[], 7, {"5f0c": 7}, {"5f0c": [["a", "b"]]}, "x"])
+def test_unreadable_suspected_requests_are_an_error_of_the_protocol(value):
+    """Another version of the program must not end the task that takes news."""
+    news = News(Address("10.0.0.1", 1), "a", HostState(1, True, {}), [])
+    document = json.loads(news.encode()) | {"suspects": value}
+    with pytest.raises(ProtocolError):
+        News.decode(json.dumps(document).encode())
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -1,10 +1,14 @@
 """A service under steady load, as a stand-in server serves it, and what it ran.
 
 Paths that begin with ``/stream/`` are answered by a stream of `EVENT_COUNT` events,
-which goes on behind ``Last-Event-Id``; others by one line that names the request.
+which goes on behind ``Last-Event-Id``; others by one line that names the request.  The
+process ends under a request whose body begins with `ENDING_MARK`.
 """
 
+import json
+import os
 import random
+import sys
 import time
 
 import curio
@@ -23,6 +27,10 @@
 EVENT_COUNT = 8
 EVENT_GAP_S = 0.03
 STREAM_PATH = "/stream/"
+# A server ends while it works on a request whose body begins so.
+ENDING_MARK = b"ends the server"
+ENDS_AFTER_S = 0.02
+ENDED_STATUS = 3
 
 
 def expected_body(request_id, path):
@@ -142,6 +150,9 @@
         )
 
     async def _serve(self, run, request, client):
+        if request.body.startswith(ENDING_MARK):
+            await curio.sleep(ENDS_AFTER_S)
+            _end_process(run)
         fault = self._draw_fault()
         if run.path.startswith(STREAM_PATH):
             return await self._stream(run, request, client, fault)
@@ -193,6 +204,13 @@
         return f"X-Server-Load: {self._running},0,{SLOT_COUNT}"
 
 
+def _end_process(run):
+    """End as by a fault, and leave a line that tells under which request."""
+    line = {"ended_under": run.request_id, "arrived_s": run.arrived_s}
+    print(json.dumps(line), file=sys.stderr, flush=True)
+    os._exit(ENDED_STATUS)
+
+
 async def _left_within(client, wait_s):
     """Wait; return at once with True if the caller closes its connection."""
     peeked = await curio.ignore_after(wait_s, client.recv, 1, socket.MSG_PEEK)
