--- a/scripts/demo_gateway.py
+++ b/scripts/demo_gateway.py
@@ -1,4 +1,4 @@
-"""Run a gateway with direct targets on loopback, and trace three failed requests.
+"""Run a gateway with direct targets on loopback, and trace four failed requests.
 
 Started by ``make gateway`` and ``make demo``.  The last line is JSON with the status of
 each request; the exit status is 0 if they are as expected.
@@ -28,6 +28,8 @@
 
 KEY = "demo-key"
 SERVERS = ("i-1", "i-2")
+# One request ends three servers, so that more of them are needed for it.
+MORE_SERVERS = ("i-3", "i-4", "i-5")
 START_WAIT_S = 10.0
 POLL_INTERVAL_S = 0.05
 # The log thread writes at once; this is for a busy machine.
@@ -53,10 +55,15 @@
     "overloaded": 503,
     "late": 200,
     "unknown": 502,
+    "ends-1": 502,
+    "ends-2": 502,
+    "ends-3": 502,
+    "ends-4": 503,
 }
 # Longer than the load that a server stated counts.
 REPORT_WAIT_S = 1.2
-
+# Until the gateway has read of more servers, which it does once a second.
+LISTED_WAIT_S = 1.5
 
 CONFIGURATION = configuration(
     1,
@@ -84,7 +91,7 @@
     call(store, "POST", append_path(topic), record_bytes(key, value))
 
 
-def ask(gateway, request_id, path):
+def ask(gateway, request_id, path, body=b"report"):
     """Send a caller's request; return its status."""
     headers = {
         "Host": CALLER_HOST,
@@ -92,27 +99,27 @@
         "X-Deadline-Ms": "4000",
         "Authorization": f"Token {KEY}",
     }
-    return call(gateway, "POST", path, b"report", headers)[0]
+    return call(gateway, "POST", path, body, headers)[0]
+
+
+def start_servers(processes, store, names):
+    """Start servers and list them; return their addresses."""
+    command = [sys.executable, "-m", "standins.platform_server", "--instance-id"]
+    servers = [processes.start(name, [*command, name], True) for name in names]
+    addresses = [server.read_address() for server in servers]
+    for name, address in zip(names, addresses, strict=True):
+        publish(store, "keyed.servers", name, listed(address))
+    return addresses
 
 
 def start(processes, folder):
-    """Start all processes; return the addresses of gateway and servers, and its log."""
+    """Start all processes; return addresses of gateway, store, servers, and its log."""
     store = processes.start(
         "store", [sys.executable, "-m", "standins.platform_store"], True
     )
-    servers = [
-        processes.start(
-            name,
-            [sys.executable, "-m", "standins.platform_server", "--instance-id", name],
-            True,
-        )
-        for name in SERVERS
-    ]
     store_address = store.read_address()
-    server_addresses = [server.read_address() for server in servers]
     publish(store_address, "keyed.op", "config", CONFIGURATION)
-    for name, address in zip(SERVERS, server_addresses, strict=True):
-        publish(store_address, "keyed.servers", name, listed(address))
+    server_addresses = start_servers(processes, store_address, SERVERS)
     front, ready, peer = free_ports(3)
     settings = folder / "settings.toml"
     settings.write_text(settings_text("entry-1", (front, ready, peer), store_address))
@@ -121,7 +128,8 @@
         "gateway", [sys.executable, "-m", "siskinthread.platform"]
     )
     wait_until_ready(("127.0.0.1", ready))
-    return ("127.0.0.1", front), server_addresses, gateway.log_path
+    gateway_address = ("127.0.0.1", front)
+    return gateway_address, store_address, server_addresses, gateway.log_path
 
 
 def wait_until_ready(address):
@@ -150,14 +158,34 @@
     return statuses
 
 
+def play_ending(gateway, servers):
+    """Send a request that ends its server, as often as that is let through, and again.
+
+    Returns
+    -------
+    dict of str to int
+        The status of each try.
+    """
+    ends = json.dumps({"behaviours": ["end"]}).encode()
+    for server in servers:
+        call(server, "POST", "/faults", ends)
+    return {
+        f"ends-{number}": ask(gateway, f"demo-ends-{number}", "/alert/2f", b"poison")
+        for number in range(1, 5)
+    }
+
+
 def main():
     """Run the demo."""
     with tempfile.TemporaryDirectory() as name, Processes(Path(name)) as processes:
-        gateway, servers, log_path = start(processes, Path(name))
+        gateway, store, servers, log_path = start(processes, Path(name))
         statuses = play(gateway, servers)
+        servers += start_servers(processes, store, MORE_SERVERS)
+        time.sleep(LISTED_WAIT_S)
+        statuses |= play_ending(gateway, servers)
         time.sleep(LOG_WAIT_S)
         lines = log_path.read_text().splitlines()
-    for kind in ("overloaded", "unknown", "late"):
+    for kind in ("overloaded", "ends-4", "unknown", "late"):
         trace = find_request(lines, f"demo-{kind}")
         print(trace.render() if trace else f"no line on demo-{kind}")
     print(json.dumps(statuses))
--- a/standins/platform_behaviours.py
+++ b/standins/platform_behaviours.py
@@ -5,6 +5,8 @@
 connection ends.
 """
 
+import os
+
 import curio
 
 READ_SIZE_BYTES = 65_536
@@ -13,6 +15,8 @@
 # How long a server works on a request that ends it.
 CRASH_AFTER_S = 0.01
 FOR_EVER_S = 3600.0
+# Exit status of a server that a request has ended.
+ENDED_STATUS = 3
 
 
 def answer_bytes(request_id, status="200 OK", body=b"done\n", headers=()):
@@ -107,6 +111,12 @@
     await curio.sleep(FOR_EVER_S)
 
 
+async def end_process(server, request, client):
+    """Begin to run the request, and end the whole process before the answer."""
+    await curio.sleep(CRASH_AFTER_S)
+    os._exit(ENDED_STATUS)
+
+
 async def cut_answer(server, request, client):
     """Close within the body."""
     await client.sendall(answer_bytes(request.request_id, headers=sealed())[:-2])
@@ -205,4 +215,5 @@
     "stream": stream(1, 5, gap_s=0.05),
     "slow": stream(1, 5, gap_s=0.4),
     "cut": cut_unless_resumed,
+    "end": end_process,
 }
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -18,6 +18,7 @@
     answer_bytes,
     answer_nonsense,
     CLOSE,
+    ENDED_STATUS,
     event,
     sealed,
 )
@@ -30,7 +31,6 @@
 # A server ends while it works on a request whose body begins so.
 ENDING_MARK = b"ends the server"
 ENDS_AFTER_S = 0.02
-ENDED_STATUS = 3
 
 
 def expected_body(request_id, path):
