Judge a question to a peer by its answer, and let no old wake-up ask again

Cause: two races in a process that follows the configuration by its peers. Ruled out: load; both come about in an idle run when the heartbeat is put between answer and evaluation. Change: a question is judged by the offset that its answer states, or that was known when it was put; the wake-up is dropped when no peer is ahead any more. The two new tests, which put the heartbeat there, fail without the change and pass with it.

--- a/siskinthread/control/_peer_links.py
+++ b/siskinthread/control/_peer_links.py
@@ -2,6 +2,8 @@
 
 import curio
 
+from siskinthread.configuration import is_whole_status
+
 
 class PeerLink:
     """What is known of the peer at the other end of a link.
@@ -15,8 +17,11 @@
     ----------
     offset : int or None
         Last record that the peer said it has folded.
+    judged_offset : int or None
+        Its offset as the last question shows it: by the answer, or without one as it
+        was known when the question was put.
     fruitless_offset : int or None
-        Its offset when it was last asked and nothing came of it.
+        The judged offset of the last question that nothing came of.
     """
 
     __slots__ = (
@@ -24,6 +29,7 @@
         "_answered",
         "_question",
         "fruitless_offset",
+        "judged_offset",
         "link",
         "offset",
     )
@@ -31,6 +37,7 @@
     def __init__(self, link):
         self.link = link
         self.offset = None
+        self.judged_offset = None
         self.fruitless_offset = None
         self._question = None
         self._answer = None
@@ -66,6 +73,7 @@
         self._question = frame.configuration_request
         self._answer = None
         self._answered.clear()
+        self.judged_offset = self.offset
         await self.link.send(frame)
         await curio.ignore_after(wait_s, self._answered.wait)
         self._question = None
@@ -77,6 +85,8 @@
             # An answer that came too late for an earlier question.
             return
         self._answer = update
+        if is_whole_status(update.status):
+            self.judged_offset = update.status.applied_offset
         await self._answered.set()
 
     async def give_up(self):
--- a/siskinthread/control/_plane.py
+++ b/siskinthread/control/_plane.py
@@ -143,6 +143,10 @@
             if self._peers.asked and self._peers.ahead(self._own_offset()):
                 await curio.sleep(0)
                 continue
+            if not self._peers.ahead(self._own_offset()):
+                # What woke this task was said while the peer was being asked.  Kept, it
+                # would have a peer of another history asked once more for nothing.
+                self._news.clear()
             await self._pause(pause_s)
 
     def _own_offset(self):
@@ -159,8 +163,11 @@
         if self._own_offset() > before:
             return
         for peer in self._peers.asked:
-            if peer.is_ahead(before):
-                peer.fruitless_offset = peer.offset
+            # Not by what it has said since: a question that was put before that was not
+            # in vain for it, and the peer would never be asked for its new records.
+            judged_offset = peer.judged_offset
+            if judged_offset is not None and judged_offset > before:
+                peer.fruitless_offset = judged_offset
 
     async def _announce(self):
         for link in list(self._peers.links):
--- a/siskinthread/control/tests/test_propagation.py
+++ b/siskinthread/control/tests/test_propagation.py
@@ -5,6 +5,8 @@
 from siskinthread.configuration import chosen_readers
 from siskinthread.configuration.tests.fakes import body, host
 from siskinthread.configuration.tests.nodes import changed_log
+from siskinthread.control._asking import LinkPeers
+from siskinthread.control._peer_links import PeerLink
 from siskinthread.control.tests.nodes import (
     AgentNode,
     all_at,
@@ -13,6 +15,12 @@
     running,
     until,
 )
+from siskinthread.wire import (
+    ConfigurationRequest,
+    ConfigurationStatus,
+    ConfigurationUpdate,
+    Frame,
+)
 
 
 def put_change(log, version):
@@ -260,3 +268,116 @@
             await all_at(2, *others)
 
     curio.run(run)
+
+
+class HeartbeatBehindAnswer:
+    """Lets a heartbeat of a peer arrive right behind its first answer to a node.
+
+    Parameters
+    ----------
+    node : Node
+        The node that asks.
+    offset : int
+        What the heartbeat states.
+
+    Attributes
+    ----------
+    asked_count : int
+        Questions of the node that were answered.
+    """
+
+    def __init__(self, node, offset):
+        self._node = node
+        self._offset = offset
+        self.asked_count = 0
+
+    def arrange(self, monkeypatch):
+        """Let it happen."""
+        ask = LinkPeers.ask
+
+        async def ask_and_hear(peers, request, starting):
+            updates = await ask(peers, request, starting)
+            if updates and peers is self._node.control._peers:
+                self.asked_count += 1
+                if self.asked_count == 1:
+                    peer = next(iter(peers.links.values()))
+                    await self._node.control.note_offset(peer, self._offset)
+            return updates
+
+        monkeypatch.setattr(LinkPeers, "ask", ask_and_hear)
+
+
+class AnsweringLink:
+    """A link to a peer that has nothing new to tell.
+
+    Parameters
+    ----------
+    offset : int
+        Last record that the peer has folded.
+    """
+
+    def __init__(self, offset):
+        self._offset = offset
+        self.peer = None
+
+    async def send(self, frame):
+        """Answer a question at once."""
+        status = ConfigurationStatus(self._offset, "chain", None, None)
+        base = frame.configuration_request.status
+        update = ConfigurationUpdate(status, base, [], [], False)
+        await self.peer.take_answer(update)
+
+
+def test_heartbeat_right_behind_an_answer_is_followed_up():
+    """Symptom: a process stays on an old version for good; seen once in 39 runs.
+
+    Events: a peer answers that it has nothing new; before that is taken in, it folds 40
+    records and says so.  Cause: the question was held to be in vain for the offset of
+    that heartbeat, though it was put before it, so that the peer was not asked again.
+    """
+
+    async def run():
+        plane = EntryNode("e1", changed_log(1), NodeSettings()).control
+        link = AnsweringLink(0)
+        link.peer = peer = PeerLink(link)
+        await plane._peers.add(link, peer)
+        status = ConfigurationStatus(0, "chain", None, None)
+        question = Frame(configuration_request=ConfigurationRequest(status))
+        await peer.ask(question, 1.0)
+        plane._peers.asked.append(peer)
+        await plane.note_offset(peer, 40)
+        plane._note_fruitless(0)
+        return peer.is_ahead(0)
+
+    assert curio.run(run)
+
+
+def test_heartbeat_within_a_question_in_vain_asks_no_second_one(monkeypatch):
+    """Symptom: a diverged peer is asked twice; seen once in a run beside load.
+
+    Events: a peer of another history, which stays ahead, says how far it is while it is
+    being asked.  Cause: the wake-up outlived the question that had answered it.
+    """
+
+    async def run():
+        old_log, new_log = changed_log(4), changed_log(2)
+        new_log.put(body("other", 1, [host("x")]))
+        settings = NodeSettings()
+        old, new = (
+            AgentNode("a1", old_log, settings),
+            EntryNode("e1", new_log, settings),
+        )
+        heard = HeartbeatBehindAnswer(new, 3)
+        heard.arrange(monkeypatch)
+        async with running(old, new):
+            await all_at(3, old)
+            await all_at(2, new)
+            new.log.down = True
+            new.link_to(old)
+            await until(lambda: heard.asked_count)
+            peer = next(iter(new.control._peers.links.values()))
+            await until(lambda: peer.fruitless_offset == 3)
+            await curio.sleep(0.1)
+        assert heard.asked_count == 1
+
+    curio.run(run)
