--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -15,7 +15,12 @@
     PeerNews,
     PeerNewsSettings,
 )
-from siskinthread.poison_requests import EndStatement, SuspectStatement
+from siskinthread.poison_requests import (
+    EndStatement,
+    PoisonRegister,
+    PoisonSettings,
+    SuspectStatement,
+)
 from siskinthread.settings import Address
 from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
@@ -310,3 +315,45 @@
     document = json.loads(news.encode()) | {"suspects": value}
     with pytest.raises(ProtocolError):
         News.decode(json.dumps(document).encode())
+
+
+@pytest.mark.parametrize("teller", [0, 2, 5])
+def test_suspected_request_reaches_all_domains_of_a_crowd(teller):
+    """Symptom: in a large fleet, a request that ends targets goes on in other domains.
+
+    Events: there are so many hosts that each tells those of its own domain only, and
+    the first host of a domain one host of each other one; any of them sees the ends.
+    """
+    crowd = PeerNewsSettings(
+        interval_s=0.01,
+        quiet_interval_s=0.05,
+        far_interval_s=60.0,
+        fresh_limit_s=0.5,
+        peers_at_full_rate=1,
+        fleet_settle_s=0.0,
+    )
+
+    async def main():
+        addresses = free_addresses(6)
+        hosts = []
+        for number, address in enumerate(addresses):
+            news = PeerNews(
+                crowd,
+                address,
+                "ab"[number % 2],
+                addresses[:1],
+                SYSTEM_CLOCK,
+                random.Random(number),
+            )
+            news.describe = lambda: HostState(1, True, {})
+            news.poison = PoisonRegister(PoisonSettings(), SYSTEM_CLOCK)
+            hosts.append(news)
+        tasks = [await curio.spawn(host.run) for host in hosts]
+        await until(lambda: all(len(host._peers) == 5 for host in hosts))
+        for number in range(3):
+            await hosts[teller].poison.target_ended("5f0c", f"i-{number}")
+        await until(lambda: all(host.poison.kept_off_until("5f0c") for host in hosts))
+        for task in tasks:
+            await task.cancel()
+
+    curio.run(main)
