--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -15,6 +15,7 @@
 from siskinthread.platform._wire import PlatformWire
 from siskinthread.settings import Address
 from siskinthread.timing import SYSTEM_CLOCK
+from standins import platform_behaviours as faults
 from standins._http_server import HttpServer
 from standins.platform_server import PlatformServerStandin
 from standins.platform_store import PlatformStoreStandin
@@ -26,6 +27,8 @@
 STREAM_PATH = "/stream/2f"
 ONCE_PATH = "/once/2f"
 SAFE_PATH = "/safe/2f"
+# What a stand-in server streams as a whole.
+EVENTS = b"".join(faults.event(number) for number in range(1, 6))
 
 
 def route(path_prefix, kind, **fields):
@@ -215,6 +218,18 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def behave(system, *behaviours):
+    """Give the behaviours to whichever servers are asked first, in this order."""
+    queue = list(behaviours)
+
+    async def next_one(server, request, client):
+        chosen = queue.pop(0) if queue else faults.answer_whole
+        return await chosen(server, request, client)
+
+    for server in system.servers:
+        server.behaviours.extend([next_one] * len(behaviours))
+
+
 async def read_response(client):
     """Return the bytes of one response; shorter than whole if it broke off."""
     data = b""
