--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -98,6 +98,8 @@
 
     def _choose(self):
         """Return the target of the next attempt, or the `End` of the request."""
+        # Each try comes to another entry under another id; without what all of them
+        # know, one request ended nine targets, and their groups with them.
         kept_off = self._parts.poison.kept_off_until(self._request.fingerprint)
         if kept_off is None:
             return self._parts.choice.choose(self._request, self._tried_ids)
