--- a/scripts/soak/_faults.py
+++ b/scripts/soak/_faults.py
@@ -31,7 +31,13 @@
         What they are done to.
     """
 
-    __slots__ = ("_records", "_settings_number", "_store_modes", "_system")
+    __slots__ = (
+        "_records",
+        "_settings_number",
+        "_store_lock",
+        "_store_modes",
+        "_system",
+    )
 
     def __init__(self, system):
         self._system = system
@@ -39,6 +45,9 @@
         self._settings_number = 0
         # Faults of the store that last at present, the newest last.
         self._store_modes = []
+        # Faults that end at one moment must reach the store in that order; else the
+        # last but one may leave it as it is for good.
+        self._store_lock = curio.Lock()
 
     async def run(self, plan, started_s):
         """Carry out a plan; return when every fault of it has ended."""
@@ -175,15 +184,17 @@
     async def store_mode(self, subject, fault, mode, lapse=False):
         """Let the store turn everybody away for a while."""
         token = (mode, fault.seed)
-        self._store_modes.append(token)
-        await self._system.set_store(mode=mode)
+        async with self._store_lock:
+            self._store_modes.append(token)
+            await self._system.set_store(mode=mode)
         await curio.sleep(fault.for_s / 2)
         if lapse:
             await self._system.set_store(lapse=TARGETS_TOPIC)
         await curio.sleep(fault.for_s / 2)
-        self._store_modes.remove(token)
-        left = self._store_modes[-1][0] if self._store_modes else "up"
-        await self._system.set_store(mode=left)
+        async with self._store_lock:
+            self._store_modes.remove(token)
+            left = self._store_modes[-1][0] if self._store_modes else "up"
+            await self._system.set_store(mode=left)
 
     async def store_forgets(self, subject, fault):
         """Let the store drop old records of both topics."""
