--- a/scripts/_fault_proxy.py
+++ b/scripts/_fault_proxy.py
@@ -189,6 +189,7 @@
                     break
                 await sink.sendall(data)
         except OSError:
+            # One side has ended; the other one learns it by the relay's closing.
             pass
         if direction == FROM:
             await self._refuse_if_down()
--- a/scripts/soak/_system.py
+++ b/scripts/soak/_system.py
@@ -228,7 +228,7 @@
                     await curio.spawn(self._start_again, server, daemon=True)
 
     async def _start_again(self, server):
-        """Note what a server has ended under, and start it after a pause."""
+        """Note which request a server has ended under, and start it after a pause."""
         async with server.lock:
             old_id = server.instance_id
             self._note_end(server)
