Hold the last bytes of an announced length back until the outcome is known

The older entry wrote all announced bytes before the outcome came; that the connection then closed mostly hid it. Ruled out: load alone; with a connection that notes what is written it fails each time. Change: the piece that reaches the announced length waits for the outcome. Conclusion: traced and mended.

--- a/siskinthread/callers/_relay.py
+++ b/siskinthread/callers/_relay.py
@@ -50,7 +50,9 @@
         "_answer",
         "_connection",
         "_context",
+        "_held",
         "_last_bytes",
+        "_left_bytes",
         "_request",
         "_streams",
         "broken",
@@ -65,6 +67,10 @@
         self._answer = answer
         self._context = context
         self._last_bytes = b""
+        # Bytes until the announced length is reached, and those that reach it, which
+        # wait for the outcome.
+        self._left_bytes = None
+        self._held = b""
         self.end = None
         self.tokens = 0
         self.broken = False
@@ -157,6 +163,7 @@
         declared = _declared_length(head)
         if declared is not None and not is_event_stream:
             headers.append(("content-length", str(declared)))
+            self._left_bytes = declared
         try:
             await connection.write_head(head.status, headers)
         except h11.LocalProtocolError:
@@ -167,6 +174,8 @@
                 await self._write_part(data)
             await self._relay_parts()
             if self.end.outcome is Outcome.ANSWERED:
+                if self._held:
+                    await connection.write_data(self._held)
                 await connection.write_end()
                 return
         except h11.LocalProtocolError:
@@ -189,7 +198,14 @@
             return
         self.tokens += data.count(EVENT_MARK)
         self._last_bytes = data
-        await self._connection.write_data(data)
+        if self._left_bytes is not None:
+            self._left_bytes -= len(data)
+            if self._left_bytes == 0:
+                # The announced length tells the caller that it has the whole answer:
+                # one that failed behind its last byte looked whole.
+                self._held = data
+                return
+        await self._connection.write_data(self._held + data)
 
     async def _break(self, is_event_stream):
         """Leave the response visibly incomplete.
--- a/siskinthread/callers/tests/test_relay.py
+++ b/siskinthread/callers/tests/test_relay.py
@@ -1,9 +1,13 @@
 """What a caller takes for a whole answer, against the events that it was made from."""
 
+from types import SimpleNamespace
+
 import curio
 import h11
+import pytest
 from hypothesis import given, settings, strategies
 
+from siskinthread.callers._relay import Relay
 from siskinthread.callers.tests.fakes import Bench, request_bytes
 from siskinthread.outcomes import End, Head, Outcome, Part, Reason
 
@@ -70,3 +74,54 @@
     assert (seen.whole and seen.status == 200) == expects_whole
     if expects_whole:
         assert seen.body == body
+
+
+class Connection:
+    """Notes what is written to a caller."""
+
+    def __init__(self):
+        self.written = b""
+
+    def carries_body(self, status):
+        """Let every answer have a body."""
+        return True
+
+    async def write_head(self, status, headers):
+        """Take the head."""
+
+    async def write_data(self, data):
+        """Take bytes of the body."""
+        self.written += data
+
+    async def write_end(self):
+        """Take the end."""
+
+
+@pytest.mark.parametrize("outcome", Outcome)
+def test_announced_length_is_reached_by_whole_answers_only(outcome):
+    """Symptom: a caller takes an answer for whole whose outcome is unknown.
+
+    Events: an answer above the limit of those that are held announces its length; all
+    of its bytes come, and then that it has failed.  Cause: the last bytes went out
+    before; whether the caller read them before the connection was closed was chance.
+    """
+    body = [b"x" * 20, b"y"]
+    headers = [("content-type", "text/plain"), ("content-length", "21")]
+    events = [Head(200, headers), *(Part(0, data) for data in body)]
+    events.append(End(outcome, Reason.COMPLETE, length_bytes=21))
+
+    async def next_event():
+        return events.pop(0)
+
+    connection = Connection()
+    built = SimpleNamespace(
+        request=SimpleNamespace(request_id="id", token_estimate=0), streams=False
+    )
+    settings = SimpleNamespace(whole_answer_limit_bytes=LIMIT_BYTES)
+    context = SimpleNamespace(settings=settings, closing=False)
+    answer = SimpleNamespace(next_event=next_event)
+    relay = Relay(connection, built, answer, context)
+    curio.run(relay.run)
+    is_whole = connection.written == b"".join(body)
+    assert is_whole == (outcome is Outcome.ANSWERED)
+    assert relay.broken != is_whole
