--- a/siskinthread/poison_requests/_register.py
+++ b/siskinthread/poison_requests/_register.py
@@ -31,7 +31,7 @@
     Notes
     -----
     Symptom without this: one caller's request ended nine servers within 40 s, two at a
-    time, and while their groups formed anew 541 of 925 requests of others were refused.
+    time, and while their groups formed anew 541 of 925 requests were refused.
     Each try came to another entry under another id, and no entry knew of the tries
     before it.
 
