--- a/siskinthread/errors/__init__.py
+++ b/siskinthread/errors/__init__.py
@@ -18,6 +18,7 @@
     SettingsError,
     SiskinthreadError,
     SiskinthreadWarning,
+    SourceRestoredError,
     TargetError,
     TargetSilentError,
 )
@@ -36,6 +37,7 @@
     "SettingsError",
     "SiskinthreadError",
     "SiskinthreadWarning",
+    "SourceRestoredError",
     "TargetError",
     "TargetSilentError",
 ]
--- a/siskinthread/errors/_errors.py
+++ b/siskinthread/errors/_errors.py
@@ -67,6 +67,10 @@
     """The records behind a position have been dropped; all must be read anew."""
 
 
+class SourceRestoredError(PositionExpiredError):
+    """The source has come back older than it was, so that a position means nothing."""
+
+
 class TargetError(SiskinthreadError):
     """A target closed its connection or answered something unreadable."""
 
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -47,6 +47,8 @@
         The registry.
     random : random.Random
         For ties and spreads.
+    eras : siskinthread.source_eras.EraWatch
+        Eras of the sources.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         clock,
         metrics,
         random,
+        eras,
     ):
         self._settings = settings
         self._clock = clock
@@ -87,12 +90,15 @@
         self.parts = GatewayParts(
             settings, failure_domain, wire, clock, metrics, random
         )
-        self._table_follower = TableFollower(table_source, self.view, settings, clock)
+        self._table_follower = TableFollower(
+            table_source, self.view, settings, clock, random
+        )
         self._target_follower = TargetFollower(
             target_source,
             self.parts.targets,
             settings,
             clock,
+            eras,
             when_regained=self._table_follower.read_again,
         )
         ended_count = metrics.counter(
@@ -160,7 +166,11 @@
             See `siskinthread.poison_requests.PoisonFollower`.
         """
         self._poison_follower = PoisonFollower(
-            source, self.parts.poison, self._settings.poison
+            source,
+            self.parts.poison,
+            self._settings.poison,
+            self._clock,
+            self.parts.random,
         )
 
     def tasks(self):
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -153,6 +153,15 @@
         description="How long entries that lapse around an outage of the target list "
         "are kept after it. Living targets are listed again within about 2 s.",
     )
+    reread_spread_s = Item(
+        float,
+        default=0.5,
+        minimum=0.0,
+        description="Time over which the hosts of a failure domain read anew from a "
+        "source that has come back older, after the first of them. Half of the time "
+        "in which 99 hosts read 4 MB each at 800 MB a second, and a quarter of the 2 s "
+        "in which a change must be in force.",
+    )
     load_report_limit_s = Item(
         float,
         default=1.0,
--- a/siskinthread/gateway/_snapshots.py
+++ b/siskinthread/gateway/_snapshots.py
@@ -63,6 +63,7 @@
     """
 
     __slots__ = (
+        "_behind_version",
         "_fetch",
         "_peers",
         "_settings",
@@ -94,6 +95,8 @@
         self._settings = settings
         # What the peer of the last snapshot had told of before it was taken.
         self._taken = None
+        # Version of a peer for which the source was last asked again.
+        self._behind_version = 0
         self.dependency = Dependency("news of peers", clock)
 
     async def run(self):
@@ -105,8 +108,7 @@
                 continue
             self._taken = None
             if self._is_behind():
-                # The source has not told this process yet, but it does answer.
-                await self._table_follower.read_again()
+                await self._catch_up()
 
     def _is_cut_off(self):
         if self._target_follower.dependency.age_s() is None:
@@ -121,6 +123,21 @@
         known = 0 if table is None else table.version
         return self._peers.newest_version() > known
 
+    async def _catch_up(self):
+        """Get the configuration that a peer has and this process has not.
+
+        The source has not told this process yet, but it does answer.  If it has been
+        asked again, it may have come back older than it was: what it acknowledged is
+        still in force, also for a process that has only just started.
+        """
+        newest = self._peers.newest_version()
+        informed = self._peers.informed_peers()
+        if self._behind_version != newest or not informed:
+            self._behind_version = newest
+            await self._table_follower.read_again()
+        else:
+            await self._take_from(informed[0], is_informed=True, with_targets=False)
+
     async def _take_snapshot(self):
         informed = self._peers.informed_peers()
         if informed:
@@ -151,7 +168,7 @@
     def _knows_nothing(self):
         return self._view.table is None or not self._targets.entries()
 
-    async def _take_from(self, address, is_informed):
+    async def _take_from(self, address, is_informed, with_targets=True):
         """Take a peer's snapshot; return whether it came."""
         try:
             snapshot = await self._fetch(address)
@@ -166,5 +183,6 @@
                 version=snapshot.table.version,
                 told_by=str(address),
             )
-        self._targets.replace(snapshot.entries, is_sure=is_informed)
+        if with_targets:
+            self._targets.replace(snapshot.entries, is_sure=is_informed)
         return True
--- a/siskinthread/gateway/_table_following.py
+++ b/siskinthread/gateway/_table_following.py
@@ -2,7 +2,11 @@
 
 import curio
 
-from siskinthread.errors import PlatformUnavailableError, PositionExpiredError
+from siskinthread.errors import (
+    PlatformUnavailableError,
+    PositionExpiredError,
+    SourceRestoredError,
+)
 from siskinthread.gateway._dependency import Dependency
 from siskinthread.observability import part_logger
 
@@ -25,33 +29,44 @@
         Times.
     clock : siskinthread.timing.Clock
         Clock of the ages.
+    random : random.Random
+        Spreads what all hosts would do at one moment.
 
     Attributes
     ----------
     dependency : Dependency
         Whether the source answers.
+    newest_read : int
+        Newest version that was read from the source in its present era; 0 if none was.
     peers : siskinthread.peer_news.PeerNews or None
         Tells whether this host is the first of its failure domain to ask again.
     """
 
     __slots__ = (
+        "_is_asked_again",
         "_position",
+        "_random",
         "_reading",
         "_settings",
         "_source",
         "_view",
         "_woken",
         "dependency",
+        "newest_read",
         "peers",
     )
 
-    def __init__(self, source, view, settings, clock):
+    def __init__(self, source, view, settings, clock, random):
         self._source = source
         self._reading = None
         self._view = view
         self._settings = settings
         self._position = None
+        self._random = random
+        # Whether the next read must be answered at once.
+        self._is_asked_again = False
         self._woken = curio.Event()
+        self.newest_read = 0
         self.peers = None
         self.dependency = Dependency("published configuration", clock)
 
@@ -69,6 +84,7 @@
                 await self._note_failure(outcome)
                 continue
             self.dependency.answered()
+            self._is_asked_again = False
             for table in outcome:
                 self._put_in_force(table)
             if outcome:
@@ -82,6 +98,7 @@
         changes reached the source while it answered nothing; the source came back and
         never answered that read.
         """
+        self._is_asked_again = True
         await self._woken.set()
         if self._reading is not None:
             await self._reading.cancel(blocking=False)
@@ -93,9 +110,21 @@
             wait_s = self.dependency.retry_wait_s(self._settings, is_first)
             self._woken.clear()
             await curio.ignore_after(wait_s, self._woken.wait)
-        else:
-            _logger.event("published configuration is read anew", reason=str(error))
-            self._position = None
+            return
+        _logger.event("published configuration is read anew", reason=str(error))
+        self._position = None
+        if isinstance(error, SourceRestoredError):
+            self.newest_read = 0
+            await self._wait_for_turn()
+
+    async def _wait_for_turn(self):
+        """Let the first host of the failure domain read before the others.
+
+        99 hosts that read 4 MB each at one moment would take the source 5 s
+        (reckoned, at 80 MB a second).
+        """
+        if self.peers is not None and not self.peers.is_first_of_domain():
+            await curio.sleep(self._settings.reread_spread_s * self._random.random())
 
     async def _read_to_outcome(self):
         """Return the tables, or the error of the source as a value."""
@@ -109,12 +138,20 @@
             table, self._position = await self._source.read_newest()
             return [] if table is None else [table]
         # A source that has just failed is asked for an answer at once.
-        wait_s = 0.0 if self.dependency.is_lost else self._settings.table_wait_s
+        is_urgent = self.dependency.is_lost or self._is_asked_again
+        wait_s = 0.0 if is_urgent else self._settings.table_wait_s
         tables, self._position = await self._source.read_changes(self._position, wait_s)
         return tables
 
     def _put_in_force(self, table):
         before = self._view.table
+        self.newest_read = max(self.newest_read, table.version)
+        if before is not None and table.version < before.version:
+            _logger.event(
+                "older configuration is not put in force",
+                version=table.version,
+                in_force=before.version,
+            )
         if self._view.advance(table):
             _logger.event(
                 "configuration in force",
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -10,7 +10,11 @@
 
 import curio
 
-from siskinthread.errors import PlatformUnavailableError, PositionExpiredError
+from siskinthread.errors import (
+    PlatformUnavailableError,
+    PositionExpiredError,
+    SourceRestoredError,
+)
 from siskinthread.gateway._dependency import Dependency
 from siskinthread.gateway._list_digest import ListDigest
 from siskinthread.observability import part_logger
@@ -35,6 +39,8 @@
         Times.
     clock : siskinthread.timing.Clock
         Clock of the ages.
+    eras : siskinthread.source_eras.EraWatch
+        Told the eras that peers tell; a position of an earlier one is not used.
     when_regained : callable
         Coroutine function that is called when the source answers again.
 
@@ -49,7 +55,9 @@
     __slots__ = (
         "_clock",
         "_digest",
+        "_eras",
         "_heard",
+        "_is_restored",
         "_next_read",
         "_position",
         "_read_at_s",
@@ -61,13 +69,17 @@
         "peers",
     )
 
-    def __init__(self, source, targets, settings, clock, when_regained):
+    def __init__(self, source, targets, settings, clock, eras, when_regained):
+        self._eras = eras
+        eras.listen(self._era_began)
         self._when_regained = when_regained
         self._source = source
         self._targets = targets
         self._settings = settings
         self._clock = clock
         self._position = None
+        # Whether the source came back older since the last read.
+        self._is_restored = False
         self._digest = ListDigest()
         self._read_at_s = None
         self._next_read = Deadline.after(clock, 0.0)
@@ -91,6 +103,7 @@
                 continue
             except PositionExpiredError as error:
                 _logger.event("target list is read anew", reason=str(error))
+                self._is_restored |= isinstance(error, SourceRestoredError)
                 self._position = None
                 continue
             if self.dependency.is_lost:
@@ -119,17 +132,31 @@
         A read that is due is made whatever peers say: a process that was stopped for
         seconds finds news in its socket whose ages no longer hold.
         """
+        await self._eras.note(statement.position.era, told_by="peer")
         if self._position is None or self._next_read.passed():
             return
+        if statement.position.is_of_earlier_era(self._position):
+            # The peer has not noticed yet that the source came back older.
+            return
         if statement.digest == self._digest.value:
-            self._position = max(self._position, statement.position)
+            if self._position.is_behind(statement.position):
+                self._position = statement.position
             left_s = self._age_limit_s() - statement.age_s
             if left_s > self._next_read.left_s():
                 self._next_read = Deadline.after(self._clock, left_s)
-        elif statement.position > self._position:
+        elif self._position.is_behind(statement.position):
             self._next_read = Deadline.after(self._clock, 0.0)
             await self._heard.set()
 
+    async def _era_began(self):
+        """Read soon; hosts that don't read for others may hear that nothing changed."""
+        wait_s = 0.0
+        if self.peers is not None and not self.peers.is_reader():
+            wait_s = self._settings.reread_spread_s
+        if wait_s < self._next_read.left_s():
+            self._next_read = Deadline.after(self._clock, wait_s)
+            await self._heard.set()
+
     async def _wait_until_due(self):
         while not self._next_read.passed():
             self._heard.clear()
@@ -156,7 +183,11 @@
             entries, self._position = await self._source.read_all()
             self._note_end_of_outage()
             self._digest.replace(entries)
-            self._targets.replace(entries)
+            if self._is_restored:
+                self._is_restored = False
+                self._targets.replace_by_older(entries)
+            else:
+                self._targets.replace(entries)
             return
         changes, self._position = await self._source.read_changes(self._position)
         self._note_end_of_outage()
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -1,8 +1,14 @@
 """Which targets there are, and which of them may get requests."""
 
+from collections import OrderedDict
+
 from siskinthread.observability import part_logger
 from siskinthread.timing import Deadline
 
+# Targets that are gone and still remembered: all of a fleet of 600 that is replaced
+# within minutes.
+GONE_LIMIT = 1024
+
 _logger = part_logger("gateway")
 
 
@@ -82,6 +88,7 @@
     __slots__ = (
         "_clock",
         "_entries",
+        "_gone",
         "_grace",
         "_lapsed",
         "_left",
@@ -104,6 +111,9 @@
         # Instances whose targets have started anew; a late report of an earlier start
         # must not displace the later one.
         self._replaced = set()
+        # Instances that were dropped from the list, the latest last; an older copy of
+        # the list must not bring them back.
+        self._gone = OrderedDict()
         self._grace = Deadline.after(clock, 0.0)
         self._listeners = []
 
@@ -126,6 +136,7 @@
             return
         if entry.is_leaving:
             self._left.add(entry.instance_id)
+        self._gone.pop(entry.instance_id, None)
         self._entries[entry.instance_id] = entry
         self._listed[entry.listed_id] = entry.instance_id
         if known is None:
@@ -180,6 +191,28 @@
             else:
                 self.vanish(entry.listed_id)
 
+    def replace_by_older(self, entries):
+        """Take a list whose source has come back older than it was.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+            The list.
+
+        Notes
+        -----
+        It lacks targets that were listed since the copy was made, which get the time
+        to report again, and has some that were dropped since.  Those get no requests
+        until they have reported again: a request that reached one long after its
+        leaving was acknowledged would show it.
+        """
+        self.note_outage()
+        held = [one for one in entries if one.instance_id in self._gone]
+        if held:
+            ids = sorted(one.instance_id for one in held)
+            _logger.event("targets are held against an older list", targets=ids)
+        self.replace([one for one in entries if one not in held])
+
     def note_leaving(self, instance_id, told_by):
         """Note that a target itself has said that it leaves.
 
@@ -237,6 +270,9 @@
         del self._entries[entry.instance_id]
         self._listed.pop(entry.listed_id, None)
         self._lapsed.discard(entry.instance_id)
+        self._gone[entry.instance_id] = None
+        while len(self._gone) > GONE_LIMIT:
+            self._gone.popitem(last=False)
         _logger.event("target gone", target=entry.instance_id, told_by="list")
         if not entry.is_leaving:
             self._tell(entry)
--- a/siskinthread/gateway/tests/test_table_following.py
+++ b/siskinthread/gateway/tests/test_table_following.py
@@ -1,5 +1,7 @@
 """Reading the configuration while it changes quickly."""
 
+import random
+
 import curio
 
 from siskinthread.gateway import GatewaySettings
@@ -43,7 +45,7 @@
         source = StormSource()
         view = TableView()
         settings = GatewaySettings(table_pause_s=0.1)
-        follower = TableFollower(source, view, settings, SYSTEM_CLOCK)
+        follower = TableFollower(source, view, settings, SYSTEM_CLOCK, random.Random(1))
         task = await curio.spawn(follower.run)
         for _ in range(CHANGE_COUNT):
             source.version += 1
--- a/siskinthread/gateway/tests/test_target_following.py
+++ b/siskinthread/gateway/tests/test_target_following.py
@@ -9,7 +9,9 @@
 from siskinthread.gateway._target_following import TargetFollower
 from siskinthread.gateway._target_list import TargetList
 from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
+from siskinthread.observability import Metrics
 from siskinthread.peer_news import ListStatement
+from siskinthread.source_eras import EraWatch, Position
 
 HANG_S = 10.0
 
@@ -20,7 +22,7 @@
     def __init__(self):
         # Whether each listed target leaves.
         self.listed = {"i-1": False, "i-2": False}
-        self.position = 10
+        self.position = Position(1, 10)
         self.reads = 0
         self.is_away = False
 
@@ -75,8 +77,9 @@
         self.clock = clock()
         self.source = FakeSource()
         self.targets = TargetList(SETTINGS, self.clock)
+        self.eras = EraWatch(Metrics())
         self.follower = TargetFollower(
-            self.source, self.targets, SETTINGS, self.clock, no_reaction
+            self.source, self.targets, SETTINGS, self.clock, self.eras, no_reaction
         )
         self.follower.peers = self.peers = FakePeers(reader)
 
@@ -106,10 +109,15 @@
         await curio.sleep(0.002)
 
 
+def behind(position, count):
+    """Return the position some records behind another one."""
+    return Position(position.era, position.offset + count)
+
+
 def same_list(following, age_s):
     """Return what a peer says that has read the same list further on."""
     own = following.follower.statement()
-    return ListStatement(own.position + 50, own.digest, age_s)
+    return ListStatement(behind(own.position, 50), own.digest, age_s)
 
 
 def test_reader_reads_at_its_interval_and_tells_its_domain():
@@ -130,7 +138,7 @@
         await following.follower.hear(same_list(following, age_s=0.1))
         left_s = SETTINGS.target_age_limit_s - 0.1
         assert following.due_in_s() == pytest.approx(left_s)
-        assert following.follower.statement().position == 60
+        assert following.follower.statement().position.offset == 60
         return following.source.reads
 
     assert run(test) == 1
@@ -156,8 +164,8 @@
 
     async def test(following):
         following.source.listed["i-1"] = True
-        following.source.position = 11
-        await following.follower.hear(ListStatement(11, 5, 0.0))
+        following.source.position = Position(1, 11)
+        await following.follower.hear(ListStatement(Position(1, 11), 5, 0.0))
         await until(lambda: ids(following.targets.serving("app")) == ["i-2"])
 
     run(test)
@@ -167,9 +175,10 @@
     """A peer that is behind has another digest too."""
 
     async def test(following):
-        await following.follower.hear(ListStatement(9, 5, 0.0))
+        await following.follower.hear(ListStatement(Position(1, 9), 5, 0.0))
         await curio.sleep(0.02)
-        return following.source.reads, following.follower.statement().position
+        position = following.follower.statement().position
+        return following.source.reads, position.offset
 
     assert run(test) == (1, 10)
 
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -7,6 +7,7 @@
 from siskinthread.errors import ProtocolError
 from siskinthread.poison_requests import SuspectStatement
 from siskinthread.settings import Address
+from siskinthread.source_eras import Position
 
 MILLISECONDS_PER_SECOND = 1000
 # Addresses whose decoded form is kept; above the number of hosts of a large fleet.
@@ -18,7 +19,7 @@
 
     Parameters
     ----------
-    position : int
+    position : siskinthread.source_eras.Position
         Position in the list's source up to which it has read.
     digest : int
         Digest of the list there; equal lists have equal ones.
@@ -196,6 +197,7 @@
             document["accounts"] = state.account_counts
         if state.listing is not None:
             document["listing"] = _encode_listing(state.listing)
+            document["era"] = state.listing.position.era
         if suspects:
             document["suspects"] = {one.fingerprint: one.as_rows() for one in suspects}
         return json.dumps(document, separators=(",", ":")).encode()
@@ -215,7 +217,7 @@
                 int(document["version"]),
                 bool(document["informed"]),
                 {str(one): int(n) for one, n in document["counts"].items()},
-                _decode_listing(document.get("listing")),
+                _decode_listing(document.get("listing"), document.get("era")),
                 [str(group) for group in document.get("stalled", ())],
                 _decode_passes(document.get("passes_ms", {})),
                 {str(one): int(n) for one, n in document.get("accounts", {}).items()},
@@ -262,13 +264,14 @@
 
 def _encode_listing(listing):
     age_ms = round(listing.age_s * MILLISECONDS_PER_SECOND)
-    return [listing.position, listing.digest, age_ms]
+    return [listing.position.offset, listing.digest, age_ms]
 
 
-def _decode_listing(row):
+def _decode_listing(row, era):
     if row is None:
         return None
-    position, digest, age_ms = row
+    offset, digest, age_ms = row
+    position = Position(None if era is None else int(era), int(offset))
     return ListStatement(
-        int(position), int(digest), max(0, int(age_ms)) / MILLISECONDS_PER_SECOND
+        position, int(digest), max(0, int(age_ms)) / MILLISECONDS_PER_SECOND
     )
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -22,6 +22,7 @@
     SuspectStatement,
 )
 from siskinthread.settings import Address
+from siskinthread.source_eras import Position
 from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
 SETTINGS = PeerNewsSettings(
@@ -108,13 +109,15 @@
 def test_news_come_back_as_they_were_sent():
     """A datagram holds everything."""
     peer = Address("10.0.0.1", 7340)
-    sent = HostState(3, True, {"i-1": 2}, ListStatement(70, 2**47, 0.25), ["g-1"])
+    listing = ListStatement(Position(4, 70), 2**47, 0.25)
+    sent = HostState(3, True, {"i-1": 2}, listing, ["g-1"])
     news = News.decode(News(peer, "b", sent, [peer]).encode())
     state, listing = news.state, news.state.listing
     assert (news.sender, news.failure_domain, news.peers) == (peer, "b", [peer])
     assert (state.table_version, state.is_informed) == (3, True)
     assert (state.counts, state.stalled_groups) == ({"i-1": 2}, ["g-1"])
-    assert (listing.position, listing.digest, listing.age_s) == (70, 2**47, 0.25)
+    assert (listing.position.era, listing.position.offset) == (4, 70)
+    assert (listing.digest, listing.age_s) == (2**47, 0.25)
 
 
 def test_first_informed_host_of_a_domain_reads_for_it():
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -28,6 +28,7 @@
 from siskinthread.platform._tuning import TuningSettings
 from siskinthread.platform._wire import PlatformWire
 from siskinthread.settings import load_section
+from siskinthread.source_eras import EraWatch
 from siskinthread.supervision import run_until_stopped
 from siskinthread.timing import SYSTEM_CLOCK
 
@@ -77,7 +78,8 @@
         calls = metrics.counter(
             "platform_store_calls", "Calls to the platform's store.", ("call",)
         )
-        store = StoreClient(settings.store, STORE_ANSWER_WAIT_S, calls)
+        eras = EraWatch(metrics)
+        store = StoreClient(settings.store, STORE_ANSWER_WAIT_S, calls, eras)
         self._tables = PublishedTables(store)
         self._targets = ListedTargets(store)
         self._gateway = Gateway(
@@ -89,6 +91,7 @@
             SYSTEM_CLOCK,
             metrics,
             random.Random(),
+            eras,
         )
         peers = PeerNews(
             tuning.peer_news,
@@ -148,8 +151,8 @@
         await self._gateway.serve_pages(_listen(self._settings.peer_address), pages)
 
     def _snapshot_page(self):
-        known_ids = {one.listed_id for one in self._gateway.parts.targets.entries()}
-        return snapshot_page(self._tables, self._targets, known_ids)
+        entries = self._gateway.parts.targets.entries()
+        return snapshot_page(self._tables, self._targets, entries)
 
     async def _fetch_snapshot(self, address):
         return await fetch_snapshot(address, PEER_ANSWER_WAIT_S)
--- a/siskinthread/platform/_shares.py
+++ b/siskinthread/platform/_shares.py
@@ -23,6 +23,7 @@
     """
 
     __slots__ = (
+        "_era",
         "_generation",
         "_group",
         "_lapse_s",
@@ -37,6 +38,7 @@
         self._member = member
         self._share_count = share_count
         self._lapse_s = lapse_s
+        self._era = None
         self._generation = 0
 
     async def renew(self):
@@ -47,9 +49,14 @@
         PlatformUnavailableError
             If no readable answer came in time.
         """
+        if self._store.eras.is_over(self._era):
+            # Generations go back with the store.  With one that it has not reached yet
+            # a member would seem to know of changes that are still to come.
+            self._generation = 0
         joined = await self._store.join(
             self._group, self._member, TOPIC, self._lapse_s, self._generation
         )
+        self._era = joined.era
         self._generation = joined.generation
         return Shares(set(joined.partitions), self._share_count)
 
--- a/siskinthread/platform/_snapshots.py
+++ b/siskinthread/platform/_snapshots.py
@@ -19,7 +19,7 @@
 SNAPSHOT_PATH = "/snapshot"
 
 
-def snapshot_page(tables, targets, known_ids):
+def snapshot_page(tables, targets, entries):
     """Return the `StatusPage` of what this process knows.
 
     Parameters
@@ -28,15 +28,17 @@
         Source of the newest configuration.
     targets : ListedTargets
         Source of the newest records of targets.
-    known_ids : set of str
-        Targets that this process believes to be there.
+    entries : list of siskinthread.gateway.TargetEntry
+        Targets as this process believes them to be.  The record of one that leaves may
+        be of before, from an older copy; so it is left out.
     """
+    serving_ids = {entry.listed_id for entry in entries if not entry.is_leaving}
     document = {
         "config": None if tables.newest is None else tables.newest.value.decode(),
         "servers": {
             key: record.value.decode()
             for key, record in targets.newest.items()
-            if key in known_ids
+            if key in serving_ids
         },
     }
     return StatusPage(STATUS_OK, json.dumps(document).encode())
--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -4,16 +4,22 @@
 import json
 from urllib.parse import quote
 
+import curio
+
 from siskinthread.errors import (
     PlatformRefusedError,
     PlatformUnavailableError,
     PositionExpiredError,
+    SourceRestoredError,
 )
 from siskinthread.observability import part_logger
+from siskinthread.platform._store_era import EraReader
 from siskinthread.shared_services import HttpClient, parse_json
+from siskinthread.source_eras import Position
 
 SERVICE = "platform store"
 MILLISECONDS_PER_SECOND = 1000
+STATUS_OK = 200
 STATUS_GONE = 410
 # Topics that hold a value for each key have one partition.
 ONLY_PARTITION = 0
@@ -51,15 +57,28 @@
         Rises with each change of the group.
     partitions : list of int
         Partitions that belong to the member.
+    era : int or None
+        Era of the store, in which the generation means something.
     """
 
-    __slots__ = ("generation", "partitions")
+    __slots__ = ("era", "generation", "partitions")
 
-    def __init__(self, generation, partitions):
+    def __init__(self, generation, partitions, era):
+        self.era = era
         self.generation = generation
         self.partitions = partitions
 
 
+class _StoreAnswer:
+    """Body of an answer, and the era that the store was in."""
+
+    __slots__ = ("body", "era")
+
+    def __init__(self, body, era):
+        self.body = body
+        self.era = era
+
+
 class StoreClient:
     """Reads topics that hold the newest value for each key.
 
@@ -71,13 +90,28 @@
         Longest wait for an answer, seconds.
     call_count : prometheus_client.Counter
         Counts calls by ``call``; each of them is paid for.
+    eras : siskinthread.source_eras.EraWatch
+        Told the era of each answer.  Positions of an earlier era are not used.
     """
 
-    __slots__ = ("_call_count", "_http")
+    __slots__ = (
+        "_answer_wait_s",
+        "_call_count",
+        "_era_reader",
+        "_http",
+        "_waiting",
+        "eras",
+    )
 
-    def __init__(self, address, answer_wait_s, call_count):
+    def __init__(self, address, answer_wait_s, call_count, eras):
         self._http = HttpClient(SERVICE, address, answer_wait_s)
+        self._answer_wait_s = answer_wait_s
         self._call_count = call_count
+        self._era_reader = EraReader()
+        # Tasks whose reads wait for records.
+        self._waiting = set()
+        self.eras = eras
+        eras.listen(self._give_up_waiting)
 
     async def read_newest(self, topic):
         """Return the newest record of each key, and the position behind them.
@@ -89,12 +123,14 @@
         Returns
         -------
         tuple
-            List of `KeyedRecord`, and an int for `read_changes`.
+            List of `KeyedRecord`, and a `Position` for `read_changes`.
 
         Raises
         ------
         PlatformUnavailableError
             If no readable answer came in time.
+        SourceRestoredError
+            If the store was restored between two pages.
         """
         records = []
         position = None
@@ -103,12 +139,13 @@
             target = f"/siskinthread/log-newest?topic={topic}&part={ONLY_PARTITION}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            self._call_count.labels("newest").inc()
-            page = parse_json(SERVICE, await self._http.get(target))
+            answer = await self._call("newest", "GET", target)
+            page = parse_json(SERVICE, answer.body)
             try:
                 if position is None:
                     # "end" is the offset that the next record will get.
-                    position = int(page["end"])
+                    position = Position(answer.era, int(page["end"]))
+                self._check_era(position)
                 items = [_read_item(item) for item in page["items"]]
                 records += _readable(items, topic)
                 if not page["has_more"]:
@@ -134,8 +171,7 @@
         """
         body = b"".join(_framed(record) for record in records)
         target = f"/siskinthread/log-append?topic={topic}&part={ONLY_PARTITION}"
-        self._call_count.labels("append").inc()
-        await self._http.post(target, body)
+        await self._call("append", "POST", target, body)
 
     async def join(self, group, member, topic, lapse_s, generation):
         """Join a group of members, or stay in it.
@@ -165,14 +201,14 @@
             "ttl_ms": round(lapse_s * MILLISECONDS_PER_SECOND),
             "generation": generation,
         }
-        self._call_count.labels("join").inc()
         content = json.dumps(body).encode()
-        answer = await self._http.post("/siskinthread/log-join", content, [JSON_HEADER])
-        document = parse_json(SERVICE, answer)
+        target = "/siskinthread/log-join"
+        answer = await self._call("join", "POST", target, content, [JSON_HEADER])
+        document = parse_json(SERVICE, answer.body)
         try:
             # Rows of topic, partition and committed offset.
             partitions = [int(row[1]) for row in document["parts"]]
-            return Joined(int(document["generation"]), partitions)
+            return Joined(int(document["generation"]), partitions, answer.era)
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise _unreadable(error) from error
 
@@ -184,9 +220,9 @@
         PlatformUnavailableError
             If no answer came in time; they pass on when they lapse.
         """
-        self._call_count.labels("leave").inc()
         content = json.dumps({"group": group, "member": member}).encode()
-        await self._http.post("/siskinthread/log-leave", content, [JSON_HEADER])
+        target = "/siskinthread/log-leave"
+        await self._call("leave", "POST", target, content, [JSON_HEADER])
 
     async def read_changes(self, topic, position, wait_s=0.0):
         """Return the records from a position on, and the position behind them.
@@ -195,7 +231,7 @@
         ----------
         topic : str
             Name of the topic.
-        position : int
+        position : siskinthread.source_eras.Position
             From an earlier call.
         wait_s : float
             How long the store may wait for a record if there is none.
@@ -209,28 +245,90 @@
         ------
         PositionExpiredError
             If the records at the position have been dropped.
+        SourceRestoredError
+            If the position is of an earlier era.
         PlatformUnavailableError
             If no readable answer came in time.
         """
+        self._check_era(position)
         target = (
             f"/siskinthread/log-read?topic={topic}&part={ONLY_PARTITION}"
-            f"&from={position}"
+            f"&from={position.offset}"
         )
-        if wait_s:
-            target += f"&wait_ms={round(wait_s * MILLISECONDS_PER_SECOND)}"
-        self._call_count.labels("read").inc()
         try:
-            body = await self._http.get(target, extra_wait_s=wait_s)
+            if wait_s:
+                target += f"&wait_ms={round(wait_s * MILLISECONDS_PER_SECOND)}"
+                answer = await self._call_waiting("read", target, wait_s)
+            else:
+                answer = await self._call("read", "GET", target)
         except PlatformRefusedError as error:
+            self._check_era(position)
             if error.status == STATUS_GONE:
                 raise PositionExpiredError(str(error)) from error
             raise
+        self._check_era(position)
+        if position.era is None and answer.era is not None:
+            # The position may be older than the first era that was told.
+            raise SourceRestoredError("the store tells its era now")
         try:
-            contents = _split_records(body)
+            contents = _split_records(answer.body)
         except ValueError as error:
             raise _unreadable(error) from error
         read = [_read_keyed(content) for content in contents]
-        return _readable(read, topic), position + len(contents)
+        behind = Position(answer.era, position.offset + len(contents))
+        return _readable(read, topic), behind
+
+    async def _call(self, name, method, target, body=b"", headers=(), extra_wait_s=0.0):
+        """Return the `_StoreAnswer` to a call, which is sent once at most."""
+        self._call_count.labels(name).inc()
+        wait_s = self._answer_wait_s + extra_wait_s
+        answer = await self._http.call(method, target, body, headers, wait_s)
+        era = self._era_reader.read(answer.headers)
+        await self.eras.note(era, told_by=SERVICE)
+        if self.eras.is_over(era):
+            # A kept connection or a slow path may deliver what is no longer so.
+            raise PlatformUnavailableError(f"{SERVICE}: answer of era {era}, now over")
+        if answer.status != STATUS_OK:
+            text = f"{SERVICE}: {name} was answered with status {answer.status}"
+            raise PlatformRefusedError(text, answer.status)
+        return _StoreAnswer(answer.body, self.eras.newest)
+
+    async def _call_waiting(self, name, target, wait_s):
+        """Return the answer to a read that waits, unless an era begins meanwhile.
+
+        Such a read may never be answered: it waits behind records that are gone.
+        """
+        calling = await curio.spawn(self._outcome_of, name, target, wait_s, daemon=True)
+        self._waiting.add(calling)
+        try:
+            outcome = await calling.join()
+        except curio.TaskError as error:
+            if isinstance(error.__cause__, curio.TaskCancelled):
+                raise SourceRestoredError("an era began while a read waited") from error
+            raise
+        finally:
+            self._waiting.discard(calling)
+            await calling.cancel()
+        if isinstance(outcome, PlatformUnavailableError):
+            raise outcome
+        return outcome
+
+    async def _outcome_of(self, name, target, wait_s):
+        """Return the answer to a read that waits, or the error as a value."""
+        try:
+            return await self._call(name, "GET", target, extra_wait_s=wait_s)
+        except PlatformUnavailableError as error:
+            return error
+
+    async def _give_up_waiting(self):
+        current = await curio.current_task()
+        for calling in self._waiting - {current}:
+            await calling.cancel(blocking=False)
+
+    def _check_era(self, position):
+        if self.eras.is_over(position.era):
+            text = f"position of era {position.era}; the store is in {self.eras.newest}"
+            raise SourceRestoredError(text)
 
 
 def _framed(record):
--- a/siskinthread/platform/tests/fleet.py
+++ b/siskinthread/platform/tests/fleet.py
@@ -22,6 +22,7 @@
     until,
 )
 from siskinthread.settings import Address
+from siskinthread.source_eras import EraWatch
 from siskinthread.timing import SYSTEM_CLOCK
 from standins import platform_behaviours as faults
 from standins._http_server import HttpServer
@@ -94,7 +95,8 @@
         """Start a process that knows nothing."""
         metrics = Metrics()
         calls = metrics.counter("calls", "Calls.", ("call",))
-        store = StoreClient(self._fleet.store_address, STORE_WAIT_S, calls)
+        eras = EraWatch(metrics)
+        store = StoreClient(self._fleet.store_address, STORE_WAIT_S, calls, eras)
         self.gateway = Gateway(
             GATEWAY_SETTINGS,
             "a",
@@ -104,6 +106,7 @@
             SYSTEM_CLOCK,
             metrics,
             random.Random(1),
+            eras,
         )
         peers = PeerNews(
             NEWS_SETTINGS,
@@ -114,7 +117,7 @@
             random.Random(1),
         )
         self.gateway.hear_peers(peers, fetch_soon)
-        suspects = StoreClient(self.suspects_address, STORE_WAIT_S, calls)
+        suspects = StoreClient(self.suspects_address, STORE_WAIT_S, calls, eras)
         self.gateway.keep_suspects(StoredSuspects(suspects, SYSTEM_CLOCK))
         listening = curio.tcp_server_socket(LOOPBACK, 0)
         self.address = listening.getsockname()
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -9,11 +9,12 @@
 
 from siskinthread.gateway import Gateway, GatewaySettings
 from siskinthread.observability import Metrics
-from siskinthread.platform._snapshots import fetch_snapshot
+from siskinthread.platform._snapshots import fetch_snapshot, snapshot_page
 from siskinthread.platform._sources import ListedTargets, PublishedTables
 from siskinthread.platform._store import StoreClient
 from siskinthread.platform._wire import PlatformWire
 from siskinthread.settings import Address
+from siskinthread.source_eras import EraWatch
 from siskinthread.timing import SYSTEM_CLOCK
 from standins import platform_behaviours as faults
 from standins._http_server import HttpServer
@@ -130,6 +131,10 @@
         """Tell of no loads."""
         return False
 
+    def account_counts(self):
+        """Tell of no requests."""
+        return {}
+
     def newest_version(self):
         """Return the version that a peer is said to have."""
         return self.version
@@ -201,6 +206,11 @@
         await client.close()
         return int(response.split()[1])
 
+    def snapshot_page(self):
+        """Return what the gateway hands to a peer that the store turns away."""
+        entries = self.gateway.parts.targets.entries()
+        return snapshot_page(self.tables, self.targets, entries)
+
     def seen(self):
         """Return every request that reached a server."""
         return [request for server in self.servers for request in server.seen]
@@ -313,7 +323,8 @@
 async def _start(system, stack):
     metrics = Metrics()
     calls = metrics.counter("calls", "Calls.", ("call",))
-    store = StoreClient(system.store_address, 0.3, calls)
+    eras = EraWatch(metrics)
+    store = StoreClient(system.store_address, 0.3, calls, eras)
     system.tables = PublishedTables(store)
     system.targets = ListedTargets(store)
     system.gateway = Gateway(
@@ -325,6 +336,7 @@
         SYSTEM_CLOCK,
         metrics,
         random.Random(1),
+        eras,
     )
     system.gateway.hear_peers(system.peers, fetch_soon)
     listening = curio.tcp_server_socket("127.0.0.1", 0)
--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -17,6 +17,7 @@
     until,
 )
 from siskinthread.settings import Address
+from siskinthread.source_eras import Position
 from standins._http_server import HttpServer
 
 OTHER = "i-other"
@@ -37,8 +38,8 @@
     tables = type(system.tables)(None)
     targets = type(system.targets)(None)
     tables.take([record("config", document)])
-    targets.take([record(key, value) for key, value in entries.items()])
-    return snapshot_page(tables, targets, set(entries))
+    changes = targets.take([record(key, value) for key, value in entries.items()])
+    return snapshot_page(tables, targets, [change.entry for change in changes])
 
 
 def record(key, value):
@@ -158,12 +159,16 @@
 
         async with HttpServer(serve) as peer:
             system.store.mode = "busy"
-            system.peers.state = HostState(7, True, {}, ListStatement(5, 99, 0.1))
+            system.peers.state = HostState(
+                7, True, {}, ListStatement(Position(1, 5), 99, 0.1)
+            )
             system.peers.informed = [Address(peer.host, peer.port)]
             await until(lambda: system.gateway.view.table.version == 7)
             await curio.sleep(0.4)
             once = len(asked)
-            system.peers.state = HostState(7, True, {}, ListStatement(6, 100, 0.1))
+            system.peers.state = HostState(
+                7, True, {}, ListStatement(Position(1, 6), 100, 0.1)
+            )
             await until(lambda: len(asked) > once)
             await curio.sleep(0.2)
             return once, len(asked)
--- a/siskinthread/platform/tests/test_restored_store.py
+++ b/siskinthread/platform/tests/test_restored_store.py
@@ -4,6 +4,8 @@
 again.  Operators and servers write theirs again, some seconds later.
 """
 
+import json
+
 import curio
 
 from siskinthread.platform.tests.fleet import POISON, run_fleet
@@ -17,6 +19,9 @@
     status_of,
     until,
 )
+from siskinthread.platform.tests.test_outages import page_of, peer_handler
+from siskinthread.settings import Address
+from standins._http_server import HttpServer
 
 REVOKED, KEPT = KEY, "k2c8fhwt5nq0zr7bmvle"
 LAPSE_GRACE_S = 0.3
@@ -191,3 +196,128 @@
         return kept_count
 
     assert run_system(test, lapse_grace_s=LAPSE_GRACE_S) == 2
+
+
+def test_configuration_does_not_go_back_with_the_store():
+    """Symptom: requests on a route that was added are refused for seconds.
+
+    Events: a version was in force; the copy has the one before it, until the
+    operator has written the newer one again.
+    """
+
+    async def test(system):
+        system.store.keep_copy()
+        await system.store.put("keyed.op", "config", published(2, keys=[REVOKED, KEPT]))
+        await until(lambda: system.gateway.view.table.version == 2)
+        system.store.restore()
+        calls_before = len(system.store.calls)
+        newest = "/siskinthread/log-newest"
+        await until(lambda: system.store.calls[calls_before:].count(newest) >= 2)
+        await curio.sleep(0.1)
+        status = status_of(await system.request(SAFE_PATH, key=KEPT))
+        await system.store.put("keyed.op", "config", published(3, keys=[KEPT]))
+        await until(lambda: system.gateway.view.table.version == 3)
+        return status
+
+    assert run_system(test) == 200
+
+
+def test_host_that_starts_behind_a_restore_serves_by_what_a_peer_has():
+    """Symptom: an added host denies keys that all others accept, for seconds.
+
+    Events: it starts just after the restore, and the copy has an older version; it
+    asked the store for the newer one of its peers 2.5 times a second, in vain.
+    """
+
+    async def test(system):
+        newer = published(7, keys=[KEPT])
+        page = page_of(system, newer, {})
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.peers.informed = [Address(peer.host, peer.port)]
+            system.peers.version = 7
+            calls_before = len(system.store.calls)
+            await until(lambda: system.gateway.view.table.version == 7)
+            await curio.sleep(0.5)
+            reads = system.store.calls[calls_before:].count("/siskinthread/log-read")
+            served = await system.request(SAFE_PATH, key=KEPT)
+            # The peer tells of the configuration only: the list is this host's own.
+            serving_count = len(system.gateway.parts.targets.serving("app"))
+        return status_of(served), serving_count, reads
+
+    status, serving_count, reads = run_system(test, target_interval_s=0.25)
+    assert (status, serving_count) == (200, 2)
+    # Two reads of the list, and three of the configuration at most.
+    assert reads <= 6
+
+
+def test_snapshot_leaves_out_what_an_older_record_says_of_a_target_that_leaves():
+    """Symptom: a host that the store turns away sends to a server that left.
+
+    Events: it asks a peer, whose newest record of that server is of the copy.
+    """
+
+    async def test(system):
+        leaving, other = system.servers
+        system.store.keep_copy()
+        document = listed(leaving, state="draining", sequence=2)
+        await system.store.put("keyed.servers", leaving.instance_id, document)
+        targets = system.gateway.parts.targets
+        await until(lambda: len(targets.serving("app")) == 1)
+        system.store.restore()
+        await until(
+            lambda: b"ready" in system.targets.newest[leaving.instance_id].value
+        )
+        return list(json.loads(system.snapshot_page().body)["servers"])
+
+    assert run_system(test) == ["i-1"]
+
+
+def test_lost_record_of_a_request_is_written_again_once():
+    """Symptom: 99 hosts write the same record at one moment.
+
+    Events: a request is kept off targets, as the store and all hosts know; the one
+    that saw the targets end is gone; the store loses the record.
+    """
+
+    async def test(fleet):
+        fleet.store.keep_copy()
+        first = fleet.entries[0]
+        for _ in range(3):
+            await first.request(ONCE_PATH, POISON)
+        await until(lambda: "keyed.suspects" in fleet.store.topics)
+        await until(lambda: fleet.store.topics["keyed.suspects"].newest)
+        await curio.sleep(0.5)
+        await first.stop()
+        calls_before = len(fleet.store.calls)
+        fleet.store.restore()
+        for server in fleet.servers:
+            await fleet.store.put("keyed.servers", server.instance_id, listed(server))
+        await until(lambda: "keyed.suspects" in fleet.store.topics)
+        await until(lambda: fleet.store.topics["keyed.suspects"].newest)
+        await curio.sleep(2.5)
+        return fleet.store.calls[calls_before:].count("/siskinthread/log-append")
+
+    assert run_fleet(test, entry_count=6) == 1
+
+
+def test_hosts_that_hear_of_the_same_list_do_not_read_it_anew():
+    """Symptom: all hosts read the whole list at one moment.
+
+    Events: the store goes back, and its list is what they know.  One host reads it;
+    the others hear its digest, and go on from its position.
+    """
+
+    async def test(fleet):
+        # None starts with a list that another one has not read yet.
+        await curio.sleep(0.5)
+        fleet.store.keep_copy()
+        calls_before = len(fleet.store.calls)
+        fleet.store.restore()
+        followers = [entry.gateway._target_follower for entry in fleet.entries]
+        await until(lambda: all(one.statement().position.era == 2 for one in followers))
+        await curio.sleep(1.0)
+        return fleet.store.calls[calls_before:].count("/siskinthread/log-newest")
+
+    # Every one of six reads the configuration and the suspected requests, and one the
+    # list; another one may be about to read it when the first one tells of it.
+    assert run_fleet(test, entry_count=6) <= 14
--- /dev/null
+++ b/siskinthread/platform/tests/test_store_era.py
@@ -0,0 +1,205 @@
+"""The era that the store tells, in whatever answer."""
+
+import json
+
+import curio
+import pytest
+
+from siskinthread.errors import PlatformUnavailableError, SourceRestoredError
+from siskinthread.observability import Metrics
+from siskinthread.platform._shares import StoreShares
+from siskinthread.platform._store import KeyedRecord, StoreClient
+from siskinthread.platform._store_era import EraReader
+from siskinthread.settings import Address
+from siskinthread.source_eras import EraWatch, Position
+from standins._http_server import HttpServer
+from standins.platform_store import PlatformStoreStandin
+
+TOPIC = "keyed.servers"
+HANG_S = 10.0
+
+
+class AnsweringStore:
+    """Answers every call with a scripted status and headers."""
+
+    def __init__(self):
+        self.status = 200
+        self.headers = [("store-era", "1")]
+        self.asked = []
+
+    async def handle(self, request, exchange):
+        """Answer one call."""
+        self.asked.append(request)
+        value = {"end": 7, "items": [], "has_more": False, "generation": 9, "parts": []}
+        body = json.dumps(value).encode()
+        if request.path.endswith("log-read"):
+            body = (7).to_bytes(8, "big") + bytes(8)
+        await exchange.answer(self.status, body, more=self.headers)
+
+
+def run_client(test, store=None):
+    """Run an async test with a store and a `StoreClient`."""
+    store = AnsweringStore() if store is None else store
+
+    async def main():
+        async with HttpServer(store.handle) as server:
+            metrics = Metrics()
+            calls = metrics.counter("calls", "Calls.", ("call",))
+            address = Address(server.host, server.port)
+            client = StoreClient(address, 0.5, calls, EraWatch(metrics))
+            return await curio.timeout_after(HANG_S, test, store, client)
+
+    return curio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ([(b"store-era", b"12")], 12),
+        ([], None),
+        ([(b"store-era", b"1"), (b"store-era", b"2")], None),
+        ([(b"store-era", b"")], None),
+        ([(b"store-era", b"-1")], None),
+        ([(b"store-era", b"1.5")], None),
+        ([(b"store-era", b"\xb2")], None),
+        ([(b"store-era", b"newest")], None),
+    ],
+)
+def test_era_is_read_or_unknown(headers, expected):
+    """Whatever is no whole number, or stands there twice, is no word of an era."""
+    assert EraReader().read(headers) == expected
+
+
+@pytest.mark.parametrize("status", [200, 409, 410, 412, 429, 503])
+def test_refusals_tell_the_era_too(status):
+    """A store that refuses this host may have been restored meanwhile."""
+
+    async def test(store, client):
+        position = (await client.read_newest(TOPIC))[1]
+        store.status, store.headers = status, [("store-era", "2")]
+        with pytest.raises(SourceRestoredError):
+            await client.read_changes(TOPIC, position)
+        return client.eras.newest
+
+    assert run_client(test) == 2
+
+
+def test_position_of_an_earlier_era_is_not_asked_for():
+    """What the store has there now is not what this host has read up to."""
+
+    async def test(store, client):
+        await client.eras.note(3, told_by="test")
+        with pytest.raises(SourceRestoredError):
+            await client.read_changes(TOPIC, Position(2, 5))
+        return store.asked
+
+    assert run_client(test) == []
+
+
+def test_late_answer_of_an_earlier_era_changes_nothing():
+    """A kept connection may deliver what was true before the restore."""
+
+    async def test(store, client):
+        await client.eras.note(3, told_by="test")
+        with pytest.raises(PlatformUnavailableError):
+            await client.read_newest(TOPIC)
+        with pytest.raises(PlatformUnavailableError):
+            await client.write(TOPIC, [KeyedRecord("a", b"1")])
+        return client.eras.newest
+
+    assert run_client(test) == 3
+
+
+def test_store_that_tells_no_era_works_on():
+    """An older store has no such header, in any answer."""
+
+    async def test(store, client):
+        store.headers = []
+        position = (await client.read_newest(TOPIC))[1]
+        records, behind = await client.read_changes(TOPIC, position)
+        return position.era, behind.offset, client.eras.newest
+
+    assert run_client(test) == (None, 7, None)
+
+
+def test_missing_header_is_no_new_era():
+    """One answer without it does not have everything read anew."""
+
+    async def test(store, client):
+        position = (await client.read_newest(TOPIC))[1]
+        store.headers = []
+        _, behind = await client.read_changes(TOPIC, position)
+        store.headers = [("store-era", "1")]
+        await client.read_changes(TOPIC, behind)
+        return behind.era
+
+    assert run_client(test) == 1
+
+
+def test_read_that_waits_is_given_up_when_an_era_begins():
+    """Symptom: a change comes into force only when the next one is published.
+
+    Events: a read waits behind records that the store has lost; another call shows
+    the new era.  Cause: the store answers that read when there is a record there.
+    """
+
+    async def test(store, client):
+        await store.put(TOPIC, "i-1", {"a": 1})
+        _, position = await client.read_newest(TOPIC)
+        waiting = await curio.spawn(client.read_changes, TOPIC, position, 30.0)
+        while store.topics[TOPIC].waiting < 1:
+            await curio.sleep(0.002)
+        store.keep_copy()
+        store.restore()
+        await client.read_newest(TOPIC)
+        with pytest.raises(curio.TaskError) as caught:
+            await curio.timeout_after(1.0, waiting.join)
+        return type(caught.value.__cause__)
+
+    assert run_client(test, PlatformStoreStandin()) is SourceRestoredError
+
+
+def test_waiting_read_whose_own_answer_tells_the_era_is_read_anew():
+    """The read must not be broken off by itself."""
+
+    async def test(store, client):
+        _, position = await client.read_newest(TOPIC)
+        store.headers = [("store-era", "2")]
+        with pytest.raises(SourceRestoredError):
+            await client.read_changes(TOPIC, position, 5.0)
+
+    run_client(test)
+
+
+def test_read_from_behind_the_end_is_told_as_a_restore():
+    """The store answers 410 there, and its era is why."""
+
+    async def test(store, client):
+        await store.put(TOPIC, "i-1", {"a": 1})
+        store.keep_copy()
+        await store.put(TOPIC, "i-1", {"a": 2})
+        _, position = await client.read_newest(TOPIC)
+        store.restore()
+        with pytest.raises(SourceRestoredError):
+            await client.read_changes(TOPIC, position)
+
+    run_client(test, PlatformStoreStandin())
+
+
+def test_member_joins_anew_after_a_restore():
+    """Symptom: two hosts hold the same share for as long as it takes to lapse.
+
+    Events: a member joins with a generation that the store has not reached again.
+    """
+
+    async def test(store, client):
+        shares = StoreShares(client, "host-1", "a", 8, 4.0)
+        for _ in range(2):
+            await shares.renew()
+        store.headers = [("store-era", "2")]
+        await client.read_newest(TOPIC)
+        await shares.renew()
+        joins = [one.json() for one in store.asked if one.path.endswith("log-join")]
+        return [join["generation"] for join in joins]
+
+    assert run_client(test) == [0, 9, 0]
--- a/siskinthread/platform/tests/test_stored_suspects.py
+++ b/siskinthread/platform/tests/test_stored_suspects.py
@@ -1,5 +1,7 @@
 """Suspected requests in the platform's store."""
 
+import random
+
 import curio
 
 from siskinthread.observability import Metrics
@@ -12,6 +14,7 @@
     PoisonSettings,
 )
 from siskinthread.settings import Address
+from siskinthread.source_eras import EraWatch
 from siskinthread.timing import ManualClock
 from standins._http_server import HttpServer
 from standins.platform_store import PlatformStoreStandin
@@ -25,11 +28,14 @@
     """A register that follows the store."""
 
     def __init__(self, address, clock):
-        calls = Metrics().counter("calls", "Calls.", ("call",))
-        self.store = StoreClient(address, 0.3, calls)
+        metrics = Metrics()
+        calls = metrics.counter("calls", "Calls.", ("call",))
+        self.store = StoreClient(address, 0.3, calls, EraWatch(metrics))
         self.register = PoisonRegister(SETTINGS, clock)
         source = StoredSuspects(self.store, clock)
-        self._follower = PoisonFollower(source, self.register, SETTINGS)
+        self._follower = PoisonFollower(
+            source, self.register, SETTINGS, clock, random.Random(1)
+        )
         self._tasks = []
 
     async def start(self):
--- a/siskinthread/poison_requests/_following.py
+++ b/siskinthread/poison_requests/_following.py
@@ -7,8 +7,13 @@
 
 import curio
 
-from siskinthread.errors import PlatformUnavailableError, PositionExpiredError
+from siskinthread.errors import (
+    PlatformUnavailableError,
+    PositionExpiredError,
+    SourceRestoredError,
+)
 from siskinthread.observability import part_logger
+from siskinthread.timing import Deadline
 
 _logger = part_logger("poison_requests")
 
@@ -29,12 +34,29 @@
         Where they are noted.
     settings : PoisonSettings
         Times.
+    clock : siskinthread.timing.Clock
+        Clock of the waits.
+    random : random.Random
+        Spreads what all entries would write at one moment.
     """
 
-    __slots__ = ("_is_lost", "_position", "_register", "_settings", "_source")
-
-    def __init__(self, source, register, settings):
+    __slots__ = (
+        "_clock",
+        "_is_lost",
+        "_position",
+        "_random",
+        "_register",
+        "_settings",
+        "_source",
+        "_write_turn",
+    )
+
+    def __init__(self, source, register, settings, clock, random):
         self._source = source
+        self._clock = clock
+        self._random = random
+        # Before which nothing is written.
+        self._write_turn = Deadline.after(clock, 0.0)
         self._register = register
         self._settings = settings
         self._position = None
@@ -52,6 +74,8 @@
             except PositionExpiredError as error:
                 _logger.event("suspected requests are read anew", reason=str(error))
                 self._position = None
+                if isinstance(error, SourceRestoredError):
+                    await self._note_restored()
                 continue
             self._is_lost = False
             for change in changes:
@@ -64,6 +88,8 @@
         register = self._register
         while True:
             await register.is_write_due.wait()
+            # Meanwhile another entry may write the same, and the read tells of it.
+            await curio.sleep(self._write_turn.left_s())
             register.is_write_due.clear()
             due = register.due_writes()
             if not due:
@@ -81,6 +107,11 @@
             _logger.event("suspected requests stored", fingerprints=sorted(due))
             await curio.sleep(self._settings.store_pause_s)
 
+    async def _note_restored(self):
+        wait_s = self._settings.rewrite_spread_s * self._random.random()
+        self._write_turn = Deadline.after(self._clock, wait_s)
+        await self._register.note_store_restored()
+
     async def _read(self):
         if self._position is None:
             changes, self._position = await self._source.read_all()
--- a/siskinthread/poison_requests/_register.py
+++ b/siskinthread/poison_requests/_register.py
@@ -156,6 +156,17 @@
         if suspect.clear():
             await self._note_change(suspect, told_by)
 
+    async def note_store_restored(self):
+        """Note that the store may have lost any of its records.
+
+        What it had is due to be written again, by whichever entry knows it: the one
+        that saw the targets end may be gone.
+        """
+        for suspect in self._suspects.values():
+            suspect.was_lost = suspect.was_lost or bool(suspect.stored_tags)
+            suspect.stored_tags = frozenset()
+            await self._wake_writer(suspect)
+
     def due_writes(self):
         """Return the statements that the store should get, None for those to drop.
 
@@ -192,7 +203,8 @@
         is_enough = len(tags) >= self._settings.stored_from_count
         # Others that know the same need not make the same call.
         is_released = not tags and bool(suspect.stored_tags)
-        return suspect.is_own and (is_enough or is_released)
+        is_known_here = suspect.is_own or suspect.was_lost
+        return is_known_here and (is_enough or is_released)
 
     def _is_kept_off(self, suspect):
         if len(suspect.counting_tags()) < self._settings.end_limit_count:
--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -36,6 +36,14 @@
         description="Requests that are remembered; each takes less than 2 KB. Above, "
         "those with the fewest ends are forgotten first.",
     )
+    rewrite_spread_s = Item(
+        float,
+        default=2.0,
+        minimum=0.0,
+        description="Time over which entries write again what the store has lost. The "
+        "first one is 20 ms after the restore with 99 entries (reckoned), and the "
+        "others read what it wrote within 10 ms.",
+    )
     told_limit = Item(
         int,
         default=16,
--- a/siskinthread/poison_requests/_suspect.py
+++ b/siskinthread/poison_requests/_suspect.py
@@ -33,6 +33,8 @@
         Whether this entry has seen one of the ends itself.
     stored_tags : frozenset of str
         The ends that the store is known to have.
+    was_lost : bool
+        Whether the store had it and has lost it.
 
     Notes
     -----
@@ -40,7 +42,14 @@
     tell one another in any order, and more than once, and come to the same.
     """
 
-    __slots__ = ("_ends", "changed_at_s", "fingerprint", "is_own", "stored_tags")
+    __slots__ = (
+        "_ends",
+        "changed_at_s",
+        "fingerprint",
+        "is_own",
+        "stored_tags",
+        "was_lost",
+    )
 
     def __init__(self, fingerprint):
         self.fingerprint = fingerprint
@@ -48,6 +57,7 @@
         self.changed_at_s = 0.0
         self.is_own = False
         self.stored_tags = frozenset()
+        self.was_lost = False
 
     def add(self, tag, at_s, is_cleared):
         """Take an end in; return whether that is new."""
--- a/siskinthread/shared_services/_http.py
+++ b/siskinthread/shared_services/_http.py
@@ -35,14 +35,17 @@
         Value of the ``ETag`` header.
     body : bytes
         The body.
+    headers : list of tuple of bytes
+        All headers, their names in lower case.
     """
 
-    __slots__ = ("body", "entity_tag", "status")
+    __slots__ = ("body", "entity_tag", "headers", "status")
 
-    def __init__(self, status, entity_tag, body):
+    def __init__(self, status, entity_tag, body, headers=()):
         self.status = status
         self.entity_tag = entity_tag
         self.body = body
+        self.headers = headers
 
 
 class HttpClient:
@@ -269,6 +272,7 @@
             head.status_code,
             None if entity_tag is None else entity_tag.decode("latin-1"),
             await self._receive_body(),
+            list(head.headers),
         )
 
     async def close(self):
