Let entries of one test draw differently

Cause: a test of the restored store failed once in make test beside load (5 writes of a lost record where one is right). The entries of the test's fleet shared one seed, so that their turns to write, which are spread at random, came at one moment. Change: a seed for each entry of the fleet. Conclusion: a defect of the test's set-up, traced.

--- a/siskinthread/platform/tests/fleet.py
+++ b/siskinthread/platform/tests/fleet.py
@@ -84,6 +84,8 @@
 
     def __init__(self, fleet, news_address, is_lonely):
         self._fleet = fleet
+        # Entries that draw alike would do at one moment what they spread over time.
+        self._random = random.Random(len(fleet.entries))
         self._news_address = news_address
         self._tasks = []
         self.gateway = None
@@ -105,7 +107,7 @@
             ListedTargets(store),
             SYSTEM_CLOCK,
             metrics,
-            random.Random(1),
+            self._random,
             eras,
         )
         peers = PeerNews(
@@ -114,7 +116,7 @@
             "a",
             self._first_peers,
             SYSTEM_CLOCK,
-            random.Random(1),
+            self._random,
         )
         self.gateway.hear_peers(peers, fetch_soon)
         suspects = StoreClient(self.suspects_address, STORE_WAIT_S, calls, eras)
