Send no requests to slow ranks, and let their streams go on at others

Cause: one rank that takes 4 or 12 times as long holds all 63 of its group; each pass lasts as long as its own part, for its requests and the prompts that it reads. Ways: as it stood; no new requests there; no new ones, and resumable streams go on at another rank behind their last event. A controller tells the slow ranks that it reads in reports, at most a fifth of a group; news carry them to all entries. Conclusion: the third way is kept.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -25,6 +25,8 @@
     DECLINED = "declined"
     # The request was sent and may have run; the answer is missing or broke off.
     LOST = "lost"
+    # The stream was left within its answer, to go on at another target.
+    LEFT = "left"
 
     @property
     def is_not_run(self):
@@ -63,6 +65,9 @@
         The target.
     reply : Reply
         Where the answer goes.
+    should_leave : callable
+        Called with this attempt after each event of a stream; returns whether the
+        stream goes on at another target.
 
     Attributes
     ----------
@@ -95,6 +100,7 @@
         "_parts",
         "_reply",
         "_request",
+        "_should_leave",
         "answer",
         "entry",
         "has_target_ended",
@@ -108,7 +114,8 @@
         "written",
     )
 
-    def __init__(self, parts, request, entry, reply):
+    def __init__(self, parts, request, entry, reply, should_leave):
+        self._should_leave = should_leave
         self._parts = parts
         self._request = request
         self._reply = reply
@@ -187,7 +194,7 @@
             await self._relay_events(head)
         else:
             await self._take_whole(head)
-        if self.result is not AttemptResult.LOST:
+        if self.result not in (AttemptResult.LOST, AttemptResult.LEFT):
             self._connection = None
             await self._keep(connection, facts)
 
@@ -280,6 +287,10 @@
                 await self._reply.begin(head)
             progress.event_came()
             await self._reply.write_events(events)
+            if self._should_leave(self):
+                self.reason = "the target is slow"
+                self.result = AttemptResult.LEFT
+                return
         if splitter.rest:
             self._lose("the stream ended within an event")
             return
--- a/siskinthread/gateway/_control_home.py
+++ b/siskinthread/gateway/_control_home.py
@@ -17,6 +17,8 @@
         Passes of groups, and which of them stand still.
     context : GatewayContext
         Whether this entry drains.
+    slow_targets : SlowTargets
+        Told which targets should get no requests.
 
     Attributes
     ----------
@@ -24,9 +26,17 @@
         Tells of other entries.
     """
 
-    __slots__ = ("_context", "_failure_domain", "_progress", "_settings", "peers")
-
-    def __init__(self, settings, failure_domain, progress, context):
+    __slots__ = (
+        "_context",
+        "_failure_domain",
+        "_progress",
+        "_settings",
+        "_slow_targets",
+        "peers",
+    )
+
+    def __init__(self, settings, failure_domain, progress, context, slow_targets):
+        self._slow_targets = slow_targets
         self._settings = settings
         self._failure_domain = failure_domain
         self._progress = progress
@@ -81,6 +91,10 @@
         """Return the `siskinthread.group_maps.PassView` of a group."""
         return self._progress.pass_view(group)
 
+    def note_slow(self, group, instance_ids):
+        """Note the targets of a group that should get no requests."""
+        self._slow_targets.note(group, instance_ids)
+
     def reader_address(self):
         """Return the address of the entry that reads for this failure domain.
 
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -3,6 +3,7 @@
 import json
 
 from siskinthread.gateway._attempt import Attempt, AttemptResult
+from siskinthread.gateway._table import RequestKind
 from siskinthread.gateway._target_end import has_ended
 from siskinthread.observability import part_logger
 from siskinthread.outcomes import End, Outcome, Reason
@@ -15,6 +16,8 @@
 # Targets that can't be reached have not been asked, so they don't count as attempts;
 # a service with none that can be reached must still get an answer soon.
 UNREACHABLE_LIMIT = 3
+# Results that do not show a target to fail.
+NOT_TO_BLAME = (AttemptResult.DECLINED, AttemptResult.LEFT)
 
 
 class Forwarding:
@@ -32,6 +35,7 @@
 
     __slots__ = (
         "_attempts",
+        "_next",
         "_parts",
         "_reply",
         "_request",
@@ -44,6 +48,8 @@
         self._request = request
         self._reply = reply
         self._attempts = []
+        # The target that a stream goes on at, once it has left another one.
+        self._next = None
         self._sent_count = 0
         self._tried_ids = set()
 
@@ -68,16 +74,20 @@
 
     async def _try_targets(self):
         while True:
-            chosen = self._choose()
+            chosen, self._next = self._next or self._choose(), None
             if isinstance(chosen, End):
                 return await self._give_up(self._attempts[-1:], chosen)
-            attempt = Attempt(self._parts, self._request, chosen, self._reply)
+            attempt = Attempt(
+                self._parts, self._request, chosen, self._reply, self._should_leave
+            )
             self._attempts.append(attempt)
             await attempt.run()
             self._note(attempt)
             await self._note_for_others(attempt)
             if attempt.result is AttemptResult.ANSWERED:
                 return await self._answer(attempt)
+            if attempt.result is AttemptResult.LEFT:
+                continue
             if not self._may_go_on(attempt):
                 return await self._give_up([attempt], None)
 
@@ -110,6 +120,31 @@
             retry_after_s=kept_off.left_s(),
         )
 
+    def _should_leave(self, attempt):
+        """Return whether a stream goes on elsewhere, and choose where.
+
+        A slow rank that gets no new requests holds its group back until its last stream
+        has ended, which takes seconds: its passes are long.  The rest of a stream is
+        had sooner at another rank, which reads the prompt once more.
+        """
+        request = self._request
+        target = attempt.entry.instance_id
+        if request.kind is not RequestKind.STREAM_RESUMABLE:
+            return False
+        if not self._parts.slow_targets.is_slow(target):
+            return False
+        if self._sent_count + 1 >= request.route.attempt_limit:
+            return False
+        chosen = self._parts.choice.choose(request, {*self._tried_ids, target})
+        if isinstance(chosen, End):
+            return False
+        if self._parts.slow_targets.is_slow(chosen.instance_id):
+            return False
+        if not self._parts.budgets.try_spend(request.service_name):
+            return False
+        self._next = chosen
+        return True
+
     async def _note_for_others(self, attempt):
         """Note what the attempt shows of the request itself, for all its tries."""
         if attempt.result is AttemptResult.ANSWERED and attempt.is_success:
@@ -150,7 +185,7 @@
             self._parts.health.group_failed(self._parts.choice.group_of(instance_id))
         if attempt.result is AttemptResult.ANSWERED:
             self._parts.health.succeeded(instance_id)
-        elif attempt.result is AttemptResult.DECLINED or attempt.is_stale or is_late:
+        elif attempt.result in NOT_TO_BLAME or attempt.is_stale or is_late:
             return
         else:
             self._parts.health.failed(instance_id, attempt.reason)
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -114,7 +114,11 @@
             ended_count,
         )
         self.control_home = ControlHome(
-            settings, failure_domain, self.parts.progress, self._context
+            settings,
+            failure_domain,
+            self.parts.progress,
+            self._context,
+            self.parts.slow_targets,
         )
         self._callers = ConnectionServer(
             live,
@@ -141,6 +145,7 @@
         self._table_follower.peers = peers
         self.parts.loads.peers = peers
         self.parts.progress.peers = peers
+        self.parts.slow_targets.peers = peers
         self.parts.retry_part.peers = peers
         self.parts.accounts.peers = peers
         self.control_home.peers = peers
@@ -264,6 +269,7 @@
             self.parts.progress.stalled_groups(),
             self.parts.progress.passes_s(),
             self.parts.accounts.own_counts(),
+            slow_targets=self.parts.slow_targets.own_ids(),
         )
 
     async def _keep_up(self):
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -2,6 +2,7 @@
 
 from siskinthread.gateway._account_shares import AccountShares
 from siskinthread.gateway._group_progress import GroupProgress
+from siskinthread.gateway._slow_targets import SlowTargets
 from siskinthread.gateway._target_choice import TargetChoice
 from siskinthread.gateway._target_health import TargetHealth
 from siskinthread.gateway._target_list import TargetList
@@ -80,6 +81,7 @@
         "random",
         "retry_part",
         "settings",
+        "slow_targets",
         "targets",
         "wire",
     )
@@ -98,6 +100,7 @@
         self.pool = TargetPool(settings, clock)
         self.progress = GroupProgress(settings, clock)
         self.accounts = AccountShares(settings, clock)
+        self.slow_targets = SlowTargets(settings, clock)
         self.poison = PoisonRegister(settings.poison, clock)
         self.targets.listen(self._forget)
         self.choice = TargetChoice(
@@ -108,6 +111,7 @@
             self.health,
             self.progress,
             self.accounts,
+            self.slow_targets,
             random,
         )
 
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -169,6 +169,13 @@
         description="How long the load that a target stated counts. Half of the time "
         "that a stream takes.",
     )
+    slow_memory_s = Item(
+        float,
+        default=2.0,
+        minimum=0.0,
+        description="How long the word of a group's controller that targets are slow "
+        "counts. It asks those twice a second.",
+    )
     full_load = Item(
         float,
         default=0.93,
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -22,6 +22,8 @@
         Which groups stand still.
     accounts : AccountShares
         Which client accounts use more than their share.
+    slow_targets : SlowTargets
+        Which targets hold others back.
     random : random.Random
         Breaks ties.
 
@@ -48,6 +50,7 @@
         "_progress",
         "_random",
         "_settings",
+        "_slow_targets",
         "_targets",
         "group_of",
     )
@@ -61,8 +64,10 @@
         health,
         progress,
         accounts,
+        slow_targets,
         random,
     ):
+        self._slow_targets = slow_targets
         self._settings = settings
         self._failure_domain = failure_domain
         self._targets = targets
@@ -99,7 +104,7 @@
             for entry in trusted
             if self.group_of(entry.instance_id) not in tried_groups
         ]
-        candidates = apart or trusted
+        candidates = self._swift(apart or trusted)
         if not candidates and not tried_ids:
             # If all of them fail, one of them is still a better try than none: it may
             # be back, and one that declines does so within milliseconds.  A second
@@ -168,6 +173,17 @@
             and not self._health.is_passed_over(entry.instance_id)
         ]
 
+    def _swift(self, entries):
+        """Return the targets that are not slow, unless all of them are.
+
+        A full service refuses rather than uses slow ones: a request there would make
+        all streams of the group late.
+        """
+        slow_ids = self._slow_targets.ids()
+        if not slow_ids:
+            return entries
+        return [one for one in entries if one.instance_id not in slow_ids] or entries
+
     def _group_loads(self, serving):
         """Return the mean load of the targets of each group.
 
--- a/siskinthread/gateway/tests/test_target_choice.py
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -7,6 +7,7 @@
 from siskinthread.gateway._account_shares import AccountShares
 from siskinthread.gateway._group_progress import GroupProgress
 from siskinthread.gateway._request import GatewayRequest, LoadReport, RequestFacts
+from siskinthread.gateway._slow_targets import SlowTargets
 from siskinthread.gateway._target_choice import TargetChoice
 from siskinthread.gateway._target_health import TargetHealth
 from siskinthread.gateway._target_list import TargetList
@@ -67,6 +68,7 @@
         self.health = TargetHealth(SETTINGS, self.clock)
         self.progress = GroupProgress(SETTINGS, self.clock)
         self.accounts = AccountShares(SETTINGS, self.clock)
+        self.slow_targets = SlowTargets(SETTINGS, self.clock)
         self.choice = TargetChoice(
             SETTINGS,
             "a",
@@ -75,6 +77,7 @@
             self.health,
             self.progress,
             self.accounts,
+            self.slow_targets,
             random.Random(1),
         )
 
--- a/siskinthread/group_maps/_controller.py
+++ b/siskinthread/group_maps/_controller.py
@@ -50,6 +50,8 @@
         Clocks.
     measures : MapMeasures
         Metrics.
+    slow_ranks : SlowRanks
+        Told what ranks report.
     random : random.Random
         For versions of maps.
     """
@@ -73,6 +75,7 @@
         "_ranks",
         "_reports",
         "_settings",
+        "_slow_ranks",
         "_starts_unix_ms",
         "_unsettled_since_s",
     )
@@ -87,8 +90,10 @@
         settings,
         clock,
         measures,
+        slow_ranks,
         random,
     ):
+        self._slow_ranks = slow_ranks
         self._random = random
         self._group_name = group_name
         self._ranks = ranks
@@ -163,6 +168,8 @@
     async def _look(self, cause):
         """Count the demand and act on it."""
         self._look_times.note_look()
+        # A slow rank makes passes longer too, and is known at once.
+        self._slow_ranks.note(await self._ranks.reports())
         await self._count()
         if cause is LookCause.JUMP or self._demand.loads_by_set is None:
             # What was counted until now is mostly of the demand before the shift.
@@ -173,18 +180,25 @@
             return
         # What each rank runs and how slow it is decides the plan.
         self._reports = await self._ranks.reports()
+        self._slow_ranks.note(self._reports)
         if await self._is_undisturbed(self._reports):
             await self._plan_and_change(cause)
 
     async def _glance(self):
-        """Return the reports of the holding rank and of another one.
+        """Return the reports of the holding rank, of another one and of slow ones.
 
-        They tell whether the group runs, and whether a change was left in it.  Asking
-        all ranks twice a second took two thirds of all questions to 72 ranks.
+        They tell whether the group runs, whether a change was left in it, and whether
+        slow ranks still are.  Asking all ranks twice a second took two thirds of all
+        questions to 72 ranks.
         """
         others = range(HOLDING_RANK + 1, len(self._ranks.clients))
-        other = [self._random.choice(others)] if others else []
-        return await self._ranks.reports([HOLDING_RANK, *other])
+        asked = {self._random.choice(others)} if others else set()
+        asked.update(self._slow_ranks.numbers)
+        reports = await self._ranks.reports(
+            [HOLDING_RANK, *sorted(asked - {HOLDING_RANK})]
+        )
+        self._slow_ranks.note(reports)
+        return reports
 
     def _count_wait_s(self):
         """Return the time between two counts that show the demand by themselves."""
--- a/siskinthread/group_maps/_duty.py
+++ b/siskinthread/group_maps/_duty.py
@@ -1,5 +1,6 @@
 """The groups that this process controls."""
 
+import functools
 import zlib
 
 import curio
@@ -8,6 +9,7 @@
 from siskinthread.group_maps._controller import GroupController
 from siskinthread.group_maps._memory import GroupMemory
 from siskinthread.group_maps._ranks import GroupRanks
+from siskinthread.group_maps._slow_ranks import SlowRanks
 from siskinthread.observability import part_logger
 from siskinthread.timing import Deadline
 
@@ -32,7 +34,8 @@
         ranks are in some failure domains is controlled from the own one;
         ``is_store_away()``, whether nobody can get shares at present;
         ``is_to_relieve(name)``, whether a group stands still and this process should
-        see to it; ``pass_view(name)``, the times of its passes.
+        see to it; ``pass_view(name)``, the times of its passes; ``note_slow(name,
+        ids)`` is told its targets that should get no requests.
     settings : GroupMapSettings
         Times.
     clock : siskinthread.timing.Clock
@@ -192,6 +195,11 @@
             self._settings,
             self._clock,
             self._measures,
+            SlowRanks(
+                list(clients),
+                functools.partial(self._home.note_slow, name),
+                self._settings,
+            ),
             self._random,
         )
 
--- a/siskinthread/group_maps/_settings.py
+++ b/siskinthread/group_maps/_settings.py
@@ -138,6 +138,21 @@
         description="Least part of the time of a short pass for which a map is "
         "changed.",
     )
+    slow_ratio = Item(
+        float,
+        default=1.5,
+        minimum=1.0,
+        description="Time of a rank for the same work, relative to the usual, from "
+        "which on it gets no requests. Ranks of one service differ by less.",
+    )
+    slow_share_limit = Item(
+        float,
+        default=0.2,
+        minimum=0.0,
+        description="Largest part of a group's ranks that gets no requests for being "
+        "slow: one of the smallest groups, of 8 ranks. With more, slots are worth more "
+        "than shorter passes.",
+    )
     order_wait_s = Item(
         float,
         default=0.1,
--- a/siskinthread/group_maps/tests/test_duty.py
+++ b/siskinthread/group_maps/tests/test_duty.py
@@ -20,6 +20,7 @@
     RankCounts,
     Shares,
 )
+from siskinthread.group_maps._slow_ranks import SlowRanks
 from siskinthread.group_maps.tests.fake_group import FakeClient, FakeGroup
 from siskinthread.observability import Metrics
 from siskinthread.timing import SYSTEM_CLOCK
@@ -105,6 +106,9 @@
         """Return whether a group stands still."""
         return name in self._stalled
 
+    def note_slow(self, name, target_ids):
+        """Use no word of slow targets."""
+
     def pass_view(self, name):
         """Return a clock that has seen no pass."""
         return PassClock()
@@ -263,6 +267,7 @@
             SETTINGS,
             SYSTEM_CLOCK,
             MapMeasures(Metrics()),
+            SlowRanks([], list, SETTINGS),
             random.Random(1),
         )
         clients[1].is_silent = True
--- a/siskinthread/group_maps/tests/test_shift_replay.py
+++ b/siskinthread/group_maps/tests/test_shift_replay.py
@@ -16,6 +16,7 @@
     PassView,
     ToldPass,
 )
+from siskinthread.group_maps._slow_ranks import SlowRanks
 from siskinthread.group_maps.tests.model_group import ModelClient, ModelGroup
 from siskinthread.observability import Metrics
 from siskinthread.timing import SYSTEM_CLOCK
@@ -98,6 +99,7 @@
             settings,
             SYSTEM_CLOCK,
             MapMeasures(Metrics()),
+            SlowRanks([], list, settings),
             random.Random(1),
         )
         tasks = [await curio.spawn(group.run_passes)]
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -12,6 +12,8 @@
 MILLISECONDS_PER_SECOND = 1000
 # Addresses whose decoded form is kept; above the number of hosts of a large fleet.
 ADDRESSES_KEPT = 1024
+# Slow targets that a datagram names, in some 1 KB of its 8 KB.
+SLOW_TOLD_LIMIT = 64
 
 
 class ListStatement:
@@ -55,7 +57,10 @@
     account_counts : dict of str to int
         Its own requests by client account.
     is_domain_sum : bool
-        Whether both counts are those of all hosts of its failure domain.
+        Whether counts, groups and slow targets are those of all hosts of its failure
+        domain.
+    slow_targets : list of str
+        Targets that hold others back, as far as it has learnt that itself.
     """
 
     __slots__ = (
@@ -65,6 +70,7 @@
         "is_informed",
         "listing",
         "passes_s",
+        "slow_targets",
         "stalled_groups",
         "table_version",
     )
@@ -79,7 +85,9 @@
         passes_s=None,
         account_counts=None,
         is_domain_sum=False,
+        slow_targets=(),
     ):
+        self.slow_targets = list(slow_targets)
         self.table_version = table_version
         self.is_informed = is_informed
         self.counts = counts
@@ -89,20 +97,27 @@
         self.account_counts = {} if account_counts is None else account_counts
         self.is_domain_sum = is_domain_sum
 
-    def with_domain_sums(self, near_counts, near_account_counts, near_stalled_groups):
-        """Return this state with what the other hosts of the failure domain told."""
+    def with_domain_sums(self, near):
+        """Return this state with what the other hosts of the failure domain told.
+
+        Parameters
+        ----------
+        near : NearSums
+            What they told.
+        """
         counts, account_counts = dict(self.counts), dict(self.account_counts)
-        add_counts(counts, near_counts)
-        add_counts(account_counts, near_account_counts)
+        add_counts(counts, near.counts)
+        add_counts(account_counts, near.account_counts)
         return HostState(
             self.table_version,
             self.is_informed,
             counts,
             self.listing,
-            sorted({*self.stalled_groups, *near_stalled_groups}),
+            sorted({*self.stalled_groups, *near.stalled_groups}),
             self.passes_s,
             account_counts,
             is_domain_sum=True,
+            slow_targets=sorted({*self.slow_targets, *near.slow_targets}),
         )
 
     def looks_like(self, other):
@@ -113,6 +128,7 @@
             and self.is_informed == other.is_informed
             and self.counts == other.counts
             and self.stalled_groups == other.stalled_groups
+            and self.slow_targets == other.slow_targets
             and self.passes_s == other.passes_s
         )
 
@@ -186,6 +202,8 @@
         }
         if state.stalled_groups:
             document["stalled"] = state.stalled_groups
+        if state.slow_targets:
+            document["slow"] = state.slow_targets[:SLOW_TOLD_LIMIT]
         if state.passes_s:
             document["passes_ms"] = {
                 group: round(pass_s * MILLISECONDS_PER_SECOND)
@@ -222,6 +240,7 @@
                 _decode_passes(document.get("passes_ms", {})),
                 {str(one): int(n) for one, n in document.get("accounts", {}).items()},
                 bool(document.get("sum", False)),
+                [str(target) for target in document.get("slow", ())],
             )
             return cls(
                 _parse_address(document["sender"]),
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -163,6 +163,10 @@
         """Return the groups of targets that stand still, as peers tell."""
         return self._summary().stalled_groups
 
+    def slow_targets(self):
+        """Return the targets that hold others back, as peers tell."""
+        return self._summary().slow_targets
+
     def newest_pass(self, group):
         """Return the newest time of a pass of a group that a peer tells, or None.
 
@@ -385,13 +389,7 @@
         """
         is_first = self.is_first_of_domain()
         if is_first:
-            summary = self._summary()
-            own = self.describe()
-            domain_sum = own.with_domain_sums(
-                summary.near_counts,
-                summary.near_account_counts,
-                summary.near_stalled_groups,
-            )
+            domain_sum = self.describe().with_domain_sums(self._summary().near)
             await self._send_to(self._representatives(), domain_sum)
         if not self._far_deadline.passed():
             return
--- a/siskinthread/peer_news/_summary.py
+++ b/siskinthread/peer_news/_summary.py
@@ -5,6 +5,39 @@
 from siskinthread.peer_news._news import add_counts
 
 
+class NearSums:
+    """What the other hosts of the own failure domain told, to be told to other domains.
+
+    What those told must not come back to them.
+
+    Attributes
+    ----------
+    counts : dict of str to int
+        Requests by target.
+    account_counts : dict of str to int
+        Requests by client account.
+    stalled_groups : set of str
+        Groups that stand still.
+    slow_targets : set of str
+        Targets that hold others back.
+    """
+
+    __slots__ = ("account_counts", "counts", "slow_targets", "stalled_groups")
+
+    def __init__(self):
+        self.counts = {}
+        self.account_counts = {}
+        self.stalled_groups = set()
+        self.slow_targets = set()
+
+    def add(self, state):
+        """Add the `HostState` of a host."""
+        add_counts(self.counts, state.counts)
+        add_counts(self.account_counts, state.account_counts)
+        self.stalled_groups.update(state.stalled_groups)
+        self.slow_targets.update(state.slow_targets)
+
+
 class PeersSummary:
     """Sums over all peers whose news count.
 
@@ -24,13 +57,14 @@
         Requests of peers by target.
     account_counts : dict of str to int
         Requests of peers by client account.
-    near_counts, near_account_counts, near_stalled_groups
-        The same of peers of the own failure domain, to be told to others: what others
-        told must not come back to them.
+    near : NearSums
+        The same of peers of the own failure domain.
     domain_sums : dict of str to object
         The peer that told the newest sum of each other failure domain.
     stalled_groups : set of str
         Groups that stand still as peers see them.
+    slow_targets : set of str
+        Targets that hold others back as peers have learnt.
     valid_until_s : float
         When the first of the news ceases to count, monotonic seconds.
 
@@ -46,10 +80,9 @@
         "counts",
         "domain_sums",
         "fresh_news",
-        "near_account_counts",
-        "near_counts",
+        "near",
         "near_news",
-        "near_stalled_groups",
+        "slow_targets",
         "stalled_groups",
         "valid_until_s",
     )
@@ -57,13 +90,12 @@
     def __init__(self, peers, failure_domain):
         self.counts = {}
         self.account_counts = {}
-        self.near_counts = {}
-        self.near_account_counts = {}
-        self.near_stalled_groups = set()
+        self.near = NearSums()
         self.fresh_news = []
         self.near_news = []
         self.domain_sums = {}
         self.stalled_groups = set()
+        self.slow_targets = set()
         self.valid_until_s = math.inf
         heard = [peer for peer in peers if peer.news is not None]
         for peer in heard:
@@ -98,11 +130,10 @@
         state = peer.news.state
         self.valid_until_s = min(self.valid_until_s, peer.loads_fresh.at_s)
         self.stalled_groups.update(state.stalled_groups)
+        self.slow_targets.update(state.slow_targets)
         is_near = peer.news.failure_domain == failure_domain
         if is_near:
-            add_counts(self.near_counts, state.counts)
-            add_counts(self.near_account_counts, state.account_counts)
-            self.near_stalled_groups.update(state.stalled_groups)
+            self.near.add(state)
         elif self.domain_sums.get(peer.news.failure_domain, peer) is not peer:
             # Its requests are part of its domain's sum.
             return
--- a/siskinthread/peer_news/tests/test_summary.py
+++ b/siskinthread/peer_news/tests/test_summary.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings as hypothesis_settings, strategies as st
 
 from siskinthread.peer_news import HostState, News, PeerNews, PeerNewsSettings
+from siskinthread.peer_news._summary import NearSums
 from siskinthread.settings import Address
 from siskinthread.timing import ManualClock
 
@@ -14,6 +15,15 @@
 PEERS = [Address(f"10.0.0.{number}", 1) for number in range(1, 6)]
 
 
+def near_sums(counts, stalled_groups=(), slow_targets=()):
+    """Return what hosts of one failure domain told."""
+    sums = NearSums()
+    sums.add(
+        HostState(1, True, counts, None, stalled_groups, slow_targets=slow_targets)
+    )
+    return sums
+
+
 def naive_counts(news, instance_id):
     """Return the requests of peers at a target, summed over all of them."""
     return sum(
@@ -56,7 +66,7 @@
 
 def take_sum(news, sender, domain, counts):
     """Let news take the sum of another failure domain."""
-    state = HostState(3, True, {}).with_domain_sums(counts, {}, ["g"])
+    state = HostState(3, True, {}).with_domain_sums(near_sums(counts, ["g"]))
     news._take(News.decode(News(sender, domain, state, []).encode()))
 
 
@@ -121,7 +131,7 @@
         news._socket = NotingSocket()
         near, far = Address("10.0.0.5", 1), Address("10.0.1.1", 1)
         news._take(News(near, "a", HostState(3, True, {}), []))
-        state = HostState(3, True, {}).with_domain_sums({"i-1": 1}, {}, ())
+        state = HostState(3, True, {}).with_domain_sums(near_sums({"i-1": 1}))
         told = News(far, "b", state, [])
         await news._hand_on(told, told.encode(), (near.host, near.port))
         indirect = list(news._socket.sent)
@@ -156,3 +166,19 @@
 
     told, hosts = curio.run(main)
     assert told == hosts
+
+
+def test_slow_targets_are_told_to_other_domains():
+    """One entry asks the ranks of a group; all must know which of them are slow."""
+    told = HostState(3, True, {}, slow_targets=["i-1"]).with_domain_sums(
+        near_sums({}, slow_targets=["i-7"])
+    )
+    news = News.decode(News(Address("10.0.0.5", 1), "a", told, []).encode())
+    assert news.state.slow_targets == ["i-1", "i-7"]
+
+
+def test_slow_target_is_told_at_once():
+    """It is news like a change of the load."""
+    before, after = HostState(3, True, {}), HostState(3, True, {}, slow_targets=["i"])
+    assert not after.looks_like(before)
+    assert after.looks_like(HostState(3, True, {}, slow_targets=["i"]))
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -119,6 +119,10 @@
         """Tell of no other entry."""
         return 1
 
+    def slow_targets(self):
+        """Tell of no target that holds others back."""
+        return set()
+
     def stalled_groups(self):
         """Tell of no group that stands still."""
         return set()
--- a/siskinthread/platform/tests/test_streams.py
+++ b/siskinthread/platform/tests/test_streams.py
@@ -1,5 +1,7 @@
 """What becomes of a stream that a server declines, breaks off or goes on with."""
 
+import curio
+
 from siskinthread.platform.tests.system import (
     behave,
     body_of,
@@ -9,6 +11,7 @@
     run_system,
     status_of,
     STREAM_PATH,
+    until,
 )
 from standins import platform_behaviours as faults
 
@@ -83,3 +86,55 @@
     response = run_system(test)
     assert response.count(b"HTTP/1.1") == 1
     assert not response.endswith(b"0\r\n\r\n")
+
+
+def find_slow(system):
+    """Note the server that has got a request as slow, and return it."""
+    [slow] = [server for server in system.servers if server.seen]
+    system.gateway.parts.slow_targets.note("g", [slow.instance_id])
+    return slow
+
+
+def run_slow(*behaviours, **options):
+    """Return the response to a stream whose server turns slow, and ids told as last."""
+
+    async def test(system):
+        behave(system, *behaviours)
+        asking = await curio.spawn(system.request, STREAM_PATH)
+        await until(system.seen)
+        find_slow(system)
+        response = await asking.join()
+        return response, [seen.headers.get("last-event-id") for seen in system.seen()]
+
+    return run_system(test, **options)
+
+
+def test_stream_at_a_slow_server_goes_on_at_another_one():
+    """Symptom: a group waits for its slow rank until the last stream there has ended.
+
+    Events: a server becomes slow within a stream.  The rest of it comes from another
+    server, behind the last event that the caller has.
+    """
+    response, last_ids = run_slow(
+        faults.stream(1, 5, gap_s=0.1), faults.stream(2, 5, gap_s=0.0)
+    )
+    assert body_of(response) == EVENTS
+    assert response.count(b"HTTP/1.1") == 1
+    assert sorted(last_ids, key=str) == ["1", None]
+
+
+def test_stream_that_may_not_be_resumed_stays_at_a_slow_server():
+    """A second run must not be joined to the first."""
+    document = published(routes=[route("/stream/", "streaming")])
+    response, last_ids = run_slow(faults.stream(1, 5, gap_s=0.05), document=document)
+    assert (body_of(response), last_ids) == (EVENTS, [None])
+
+
+def test_stream_stays_at_a_slow_server_if_it_may_have_no_other():
+    """The route allows one target, or there is no other one."""
+    document = published(
+        routes=[route("/stream/", "streaming", resumable=True, attempts=1)]
+    )
+    for options in ({"document": document}, {"server_count": 1}):
+        response, last_ids = run_slow(faults.stream(1, 5, gap_s=0.05), **options)
+        assert (body_of(response), last_ids) == (EVENTS, [None])
