--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -239,6 +239,9 @@
             return "no configuration yet"
         if not self.parts.targets.entries():
             return "no target is known"
+        # Callers that are sent here meanwhile would wait for nothing.
+        if not self._callers.has_room:
+            return "no connection can be accepted"
         return None
 
     def _open_session(self, connection, is_surplus):
--- a/siskinthread/http_server/_server.py
+++ b/siskinthread/http_server/_server.py
@@ -13,6 +13,8 @@
 # Connections beyond the limit that still get a refusal in words.
 SURPLUS_LIMIT = 64
 ACCEPT_PAUSE_S = 0.1
+# How long a failed try counts; several times the pause between two tries.
+FULL_MEMORY_S = 0.5
 DUTY_PAUSE_S = 0.1
 # The kernel's queue is empty if accepting takes so long.
 QUEUE_EMPTY_S = 0.01
@@ -52,6 +54,7 @@
         "_emptied",
         "_listening_socket",
         "_open_count",
+        "_full_until",
         "_settings",
         "_stopped",
     )
@@ -68,6 +71,15 @@
         self._accepting = None
         self._listening_socket = None
         self._broken = None
+        self._full_until = Deadline.after(clock, 0.0)
+
+    @property
+    def has_room(self):
+        """Whether no try to accept a connection has failed lately.
+
+        A try fails for want of descriptors or memory.
+        """
+        return self._full_until.passed()
 
     async def run(self, listening_socket):
         """Serve until a drain has finished or the task is cancelled.
@@ -149,7 +161,9 @@
                 if error.errno == errno.ECONNABORTED:
                     continue
                 # Out of descriptors or memory: accepting again at once would spin.
-                logger.warning("accept failed: %s", error)
+                if self.has_room:
+                    logger.warning("accept failed: %s", error)
+                self._full_until = Deadline.after(self._clock, FULL_MEMORY_S)
                 await curio.sleep(ACCEPT_PAUSE_S)
                 continue
             await self._take(socket)
