Take a failure domain for silent only after three lost sums

Cause: where there are many hosts, one datagram a second tells another domain that this one is there, and it may be lost. Ways: as it stood; a domain counts for 3.5 s after it was heard of. Ruled out: the slow rank of that moment alone: it had lost its requests within 0.4 s. A domain whose hosts all end while its ranks live is taken over 2 s later.

--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -65,6 +65,7 @@
     __slots__ = (
         "_address",
         "_clock",
+        "_domains_heard_s",
         "_failure_domain",
         "_far_deadline",
         "_first_peers",
@@ -94,6 +95,8 @@
         self._clock = clock
         self._random = random
         self._peers = {}
+        # When some host of each failure domain was last heard of, monotonic seconds.
+        self._domains_heard_s = {}
         self._known_summary = None
         # Time between two news of near peers; reckoned when it may have changed.
         self._told_s = None
@@ -241,8 +244,19 @@
         return min(earlier, key=str, default=None)
 
     def heard_domains(self):
-        """Return the failure domains of which some host was heard lately."""
-        return {news.failure_domain for news in self._summary().fresh_news}
+        """Return the failure domains of which some host was heard lately.
+
+        Where there are many hosts, each other domain is heard of once a second, by one
+        datagram that may be lost.  Taken for silent after 1.5 s, its groups were
+        controlled from two domains at once, three times within 6 s, and two of three
+        map changes were refused.
+        """
+        oldest_s = self._clock.monotonic_s() - self._settings.domain_memory_s
+        return {
+            domain
+            for domain, heard_at_s in self._domains_heard_s.items()
+            if heard_at_s >= oldest_s
+        }
 
     def is_among_first(self, count):
         """Return whether this process is one of the first of its failure domain.
@@ -306,6 +320,7 @@
             self._told_s = self.told_interval_s()
         peer.news = news
         peer.heard_at_s = self._clock.monotonic_s()
+        self._domains_heard_s[news.failure_domain] = peer.heard_at_s
         peer.loads_fresh = Deadline.after(self._clock, settings.fresh_limit_s)
         told_s = settings.quiet_interval_s + self._told_s
         peer.fresh = Deadline.after(self._clock, max(settings.fresh_limit_s, told_s))
--- a/siskinthread/peer_news/_settings.py
+++ b/siskinthread/peer_news/_settings.py
@@ -43,6 +43,14 @@
         minimum=0.05,
         description="How long the loads that a peer told of count.",
     )
+    domain_memory_s = Item(
+        float,
+        default=3.5,
+        minimum=0.05,
+        description="Silence after which no host of a failure domain is taken to be "
+        "there. Three sums of a domain, a second apart, may be lost; a domain that is "
+        "cut off stops the groups that have ranks there anyway.",
+    )
     pass_fresh_s = Item(
         float,
         default=0.5,
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -247,6 +247,21 @@
     assert news.is_among_first(1)
 
 
+def test_failure_domain_is_there_though_two_of_its_sums_are_lost():
+    """Symptom: two entries change the maps of one group, and hinder one another.
+
+    Events: another failure domain is heard of once a second; two datagrams are lost.
+    """
+    clock = ManualClock()
+    news = build(Address("10.0.0.5", 1), [], HostState(1, True, {}), clock=clock)
+    state = HostState(1, True, {})
+    news._take(News(Address("10.0.1.1", 1), "b", state, [], 200.0))
+    clock.advance(3 * SETTINGS.quiet_interval_s)
+    assert news.heard_domains() == {"b"}
+    clock.advance(SETTINGS.domain_memory_s)
+    assert news.heard_domains() == set()
+
+
 def test_newest_time_of_a_pass_counts_for_a_moment():
     """What a peer told long ago says nothing of the pass under way."""
     clock = ManualClock()
