Let a request pause for a minute after two targets have ended under it

Ways: three ends (as it stood); two ends and 600 s; two ends, 20 s, one more try; two ends, 60 s, one more try. Tests: those of the third end run without the pause, unchanged; the pause has its own. Conclusion: 60 s are kept.

--- a/siskinthread/platform/tests/fleet.py
+++ b/siskinthread/platform/tests/fleet.py
@@ -21,6 +21,7 @@
     request_bytes,
     until,
 )
+from siskinthread.poison_requests import PoisonSettings
 from siskinthread.settings import Address
 from siskinthread.source_eras import EraWatch
 from siskinthread.timing import SYSTEM_CLOCK
@@ -51,6 +52,8 @@
     watch_interval_s=0.01,
     balancer_notice_s=0.05,
     ejection_s=0.2,
+    # Without a pause, so that the limit of ends shows within a test.
+    poison=PoisonSettings(pause_s=0.0),
 )
 NEWS_SETTINGS = PeerNewsSettings(interval_s=0.02, quiet_interval_s=0.1)
 
--- a/siskinthread/platform/tests/test_crashing_requests.py
+++ b/siskinthread/platform/tests/test_crashing_requests.py
@@ -13,6 +13,7 @@
     STREAM_PATH,
     until,
 )
+from siskinthread.poison_requests import PoisonSettings
 from standins import platform_behaviours as faults
 
 
@@ -43,7 +44,8 @@
         return ended, status_of(await system.request(SAFE_PATH, body=b"1"))
 
     with caplog.at_level("INFO", logger="siskinthread"):
-        assert run_system(test, ejection_s=0.0) == (502, 502)
+        poison = PoisonSettings(pause_s=0.0)
+        assert run_system(test, ejection_s=0.0, poison=poison) == (502, 502)
     first, second = logged(caplog, "request ended")
     assert first["fingerprint"] == second["fingerprint"]
     assert [one["target_ended"] for one in first["attempts"]] == [True, True]
--- a/siskinthread/poison_requests/_register.py
+++ b/siskinthread/poison_requests/_register.py
@@ -65,7 +65,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not self._is_kept_off(suspect):
             return None
-        return Deadline(self._clock, suspect.last_at_s + self._settings.keep_off_s)
+        return Deadline(self._clock, self._kept_off_until_s(suspect))
 
     async def target_ended(self, fingerprint, instance_id):
         """Note that a target has ended under a request of this entry."""
@@ -207,10 +207,17 @@
         return is_known_here and (is_enough or is_released)
 
     def _is_kept_off(self, suspect):
-        if len(suspect.counting_tags()) < self._settings.end_limit_count:
-            return False
-        until_s = suspect.last_at_s + self._settings.keep_off_s
-        return self._clock.monotonic_s() < until_s
+        return self._clock.monotonic_s() < self._kept_off_until_s(suspect)
+
+    def _kept_off_until_s(self, suspect):
+        """Return until when a request gets no target, monotonic seconds."""
+        settings = self._settings
+        end_count = len(suspect.counting_tags())
+        if end_count >= settings.end_limit_count:
+            return suspect.last_at_s + settings.keep_off_s
+        if end_count >= settings.pause_count:
+            return suspect.last_at_s + settings.pause_s
+        return -math.inf
 
     def _suspect(self, fingerprint):
         suspect = self._suspects.get(fingerprint)
--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -22,6 +22,25 @@
         "fault is mended by a release, which takes minutes; sooner, each try would end "
         "a target, and stop its group for some 5 s.",
     )
+    pause_count = Item(
+        int,
+        default=2,
+        minimum=1,
+        description="Targets that may end under a request before it pauses for "
+        "`pause_s`. By the second one it is probable that the request ends them, and "
+        "each end stops a whole group for some 5 s. It is not sure: one of some "
+        "hundred others that are under way at a target meets two ends by chance where "
+        "many targets end at once.",
+    )
+    pause_s = Item(
+        float,
+        default=60.0,
+        minimum=0.0,
+        description="How long a request pauses that may have ended targets; then one "
+        "more try shows whether it was the request. A target and its group need some 5 "
+        "s to be back, a twelfth of this. With 20 s, the third end came on days of 34 "
+        "s, and one of two such days earned 0.13 of what is owed less.",
+    )
     memory_s = Item(
         float,
         default=3600.0,
--- a/siskinthread/poison_requests/tests/test_register.py
+++ b/siskinthread/poison_requests/tests/test_register.py
@@ -15,7 +15,9 @@
 )
 from siskinthread.timing import ManualClock
 
-SETTINGS = PoisonSettings(suspects_limit=20, told_limit=6)
+# Without a pause, so that the limit of ends shows by itself.
+SETTINGS = PoisonSettings(suspects_limit=20, told_limit=6, pause_s=0.0)
+PAUSING = PoisonSettings()
 POISON = "5f0c"
 OTHER = "77aa"
 
@@ -52,6 +54,48 @@
     assert curio.run(run) == pytest.approx(SETTINGS.keep_off_s)
 
 
+def test_request_pauses_after_two_ends_and_is_then_tried_once_more():
+    """Symptom: a request stops its group three times in a row.
+
+    Events: two targets end under it.  It pauses, so that the third try comes to a
+    service that has recovered; the third end has it kept off for long.
+    """
+
+    async def run():
+        register, clock = build(settings=PAUSING)
+        await end_targets(register, POISON, "i-1")
+        assert register.kept_off_until(POISON) is None
+        await end_targets(register, POISON, "i-2")
+        paused_s = register.kept_off_until(POISON).left_s()
+        clock.advance(PAUSING.pause_s)
+        assert register.kept_off_until(POISON) is None
+        await end_targets(register, POISON, "i-3")
+        return paused_s, register.kept_off_until(POISON).left_s()
+
+    paused_s, kept_off_s = curio.run(run)
+    assert paused_s == pytest.approx(PAUSING.pause_s)
+    assert kept_off_s == pytest.approx(PAUSING.keep_off_s)
+
+
+def test_request_that_met_two_ends_by_chance_is_served_after_its_pause():
+    """Symptom: a request that ends nothing is refused for ten minutes.
+
+    Events: many targets end at once, twice; the request was at one of them each time.
+    After its pause it is answered, and pauses no more.
+    """
+
+    async def run():
+        register, clock = build(settings=PAUSING)
+        await end_targets(register, POISON, "i-1", "i-2")
+        clock.advance(PAUSING.pause_s)
+        await register.answered(POISON)
+        clock.advance(PAUSING.answered_s + 1)
+        await end_targets(register, POISON, "i-3")
+        return register.kept_off_until(POISON)
+
+    assert curio.run(run) is None
+
+
 def test_ends_that_several_entries_saw_are_summed_up_once_each():
     """Symptom: a request is kept off too late, or after one end that three saw.
 
