--- a/scripts/soak/_faults.py
+++ b/scripts/soak/_faults.py
@@ -18,6 +18,8 @@
 DIRECTIONS = (["to"], ["from"], ["to", "from"])
 STORM_COUNT = 5
 STORM_GAP_S = 0.15
+# Part of the fault for which the store goes on after the copy was made.
+COPY_AGE_SHARE = 0.8
 SPOILT_SHARE = 0.08
 SPOILT_WAYS = ("lose", "cut", "twice", "another", "nonsense", "hang", "fail")
 
@@ -201,6 +203,21 @@
         for topic in (TARGETS_TOPIC, "keyed.op"):
             await self._system.set_store(forget=topic)
 
+    async def store_comes_back_older(self, subject, fault):
+        """Let the store go away for a moment and come back from a copy."""
+        await self._system.set_store(copy=True)
+        await curio.sleep(fault.for_s * COPY_AGE_SHARE)
+        token = ("busy", fault.seed)
+        async with self._store_lock:
+            self._store_modes.append(token)
+            await self._system.set_store(mode="busy")
+        await curio.sleep(fault.for_s * (1 - COPY_AGE_SHARE))
+        async with self._store_lock:
+            self._store_modes.remove(token)
+            left = self._store_modes[-1][0] if self._store_modes else "up"
+            await self._system.set_store(restore=True, mode=left)
+        await self._system.write_again()
+
     async def publish(self, subject, fault, count=1):
         """Publish a version, or a quick series of them."""
         for _ in range(count):
@@ -243,6 +260,7 @@
     "store resets": partial(Faults.store_mode, mode="reset"),
     "store deaf": partial(Faults.store_mode, mode="deaf"),
     "store forgets": Faults.store_forgets,
+    "store comes back older": Faults.store_comes_back_older,
     "entries lapse": partial(Faults.store_mode, mode="busy", lapse=True),
     "publish": Faults.publish,
     "publish storm": partial(Faults.publish, count=STORM_COUNT),
--- a/scripts/soak/_plan.py
+++ b/scripts/soak/_plan.py
@@ -34,6 +34,12 @@
     "publish": (OPERATOR, (0.0, 0.0)),
     "publish storm": (OPERATOR, (0.0, 0.0)),
 }
+DRAWN_KINDS = list(FAULT_KINDS)
+# Drawn beside the others, so that the plans of earlier seeds stay as they were.
+RESTORE_KIND = "store comes back older"
+RESTORE_SPAN_S = (1.0, 4.0)
+RESTORES_LIMIT = 2
+FAULT_KINDS[RESTORE_KIND] = (STORE, RESTORE_SPAN_S)
 # Few faults leave parts alone for long enough that time bounds hold for them; many
 # overlap.
 FAULTS_PER_S = (0.3, 2.5)
@@ -90,7 +96,7 @@
     per_second = drawn.uniform(*FAULTS_PER_S)
     faults = []
     while len(faults) < trouble_s * per_second:
-        kind = drawn.choice(list(FAULT_KINDS))
+        kind = drawn.choice(DRAWN_KINDS)
         part, (shortest_s, longest_s) = FAULT_KINDS[kind]
         subject = drawn.randrange(gateway_count if part == GATEWAY else server_count)
         at_s = drawn.uniform(0.5, trouble_s)
@@ -102,4 +108,17 @@
             if for_s >= 0:
                 fault = Fault(kind, subject, begins_s, for_s, drawn.randrange(2**31))
                 faults.append(fault)
+    faults += _draw_restores(seed, trouble_s)
     return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_restores(seed, trouble_s):
+    """Return the restores of the store that a seed brings, often none."""
+    drawn = random.Random(f"restores {seed}")
+    restores = []
+    for _ in range(drawn.randint(0, RESTORES_LIMIT)):
+        for_s = drawn.uniform(*RESTORE_SPAN_S)
+        at_s = drawn.uniform(0.5, max(0.5, trouble_s - for_s))
+        for_s = min(for_s, trouble_s - at_s)
+        restores.append(Fault(RESTORE_KIND, 0, at_s, for_s, drawn.randrange(2**31)))
+    return restores
--- a/scripts/soak/_system.py
+++ b/scripts/soak/_system.py
@@ -132,8 +132,10 @@
     """
 
     __slots__ = (
+        "_dropped_ids",
         "_folder",
         "_processes",
+        "_published",
         "_sequence",
         "_version",
         "gateways",
@@ -150,6 +152,8 @@
         self._folder = folder
         self._version = 0
         self._sequence = 0
+        self._published = None
+        self._dropped_ids = set()
         self.records = records
         self.peer_port = next(ports)
         self.gateways = [
@@ -273,8 +277,8 @@
         self._version += 1
         version = self._version
         keys = [ACCOUNT_KEY, key_of(version)]
-        value = configuration(version, routes(), {ACCOUNT: keys})
-        await self._write(CONFIGURATION_TOPIC, "config", value)
+        self._published = configuration(version, routes(), {ACCOUNT: keys})
+        await self._write(CONFIGURATION_TOPIC, "config", self._published)
         publication = Publication(version, time.monotonic())
         self.records.publications.append(publication)
 
@@ -307,8 +311,16 @@
 
     async def drop(self, instance_id):
         """Take a server off the list."""
+        self._dropped_ids.add(instance_id)
         await self._write(TARGETS_TOPIC, instance_id, None)
 
+    async def write_again(self):
+        """Write what the store may have lost, as operators and servers do."""
+        await self._write(CONFIGURATION_TOPIC, "config", self._published)
+        for instance_id in sorted(self._dropped_ids):
+            await self._write(TARGETS_TOPIC, instance_id, None)
+        await self.report_all()
+
     async def note_runs(self, server):
         """Note what a server has run so far."""
         if server.process is None or not server.process.running():
--- a/scripts/soak/tests/test_plan.py
+++ b/scripts/soak/tests/test_plan.py
@@ -1,7 +1,7 @@
 """Plans that seeds bring."""
 
 from scripts.soak._faults import _WAYS
-from scripts.soak._plan import draw_plan, FAULT_KINDS
+from scripts.soak._plan import draw_plan, FAULT_KINDS, RESTORE_KIND
 
 
 def test_seed_brings_the_same_plan_each_time():
@@ -21,3 +21,12 @@
 def test_every_kind_of_fault_can_be_carried_out():
     """Plans name no fault that is not there."""
     assert set(FAULT_KINDS) == set(_WAYS)
+
+
+def test_some_seeds_bring_a_store_that_comes_back_older():
+    """Beside all other faults, so that it overlaps with them."""
+    counts = [
+        sum(fault.kind == RESTORE_KIND for fault in draw_plan(seed, 12.0, 3, 4))
+        for seed in range(50)
+    ]
+    assert {0, 1, 2} == set(counts)
