Split the records of the store from its client, and drop connections of an earlier era

Change: framing and decoding of records stand in _store_records; an answer of an earlier era has the idle connections closed.

--- a/siskinthread/platform/_snapshots.py
+++ b/siskinthread/platform/_snapshots.py
@@ -14,7 +14,7 @@
     ListedTargets,
     PublishedTables,
 )
-from siskinthread.platform._store import KeyedRecord
+from siskinthread.platform._store_records import KeyedRecord
 
 SNAPSHOT_PATH = "/snapshot"
 
--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store, which is a log of records by topic."""
 
-import base64
 import json
 from urllib.parse import quote
 
@@ -12,8 +11,14 @@
     PositionExpiredError,
     SourceRestoredError,
 )
-from siskinthread.observability import part_logger
 from siskinthread.platform._store_era import EraReader
+from siskinthread.platform._store_records import (
+    framed,
+    read_item,
+    read_keyed,
+    readable,
+    split_records,
+)
 from siskinthread.shared_services import HttpClient, parse_json
 from siskinthread.source_eras import Position
 
@@ -23,30 +28,8 @@
 STATUS_GONE = 410
 # Topics that hold a value for each key have one partition.
 ONLY_PARTITION = 0
-OFFSET_BYTES = 8
-LENGTH_BYTES = 4
 JSON_HEADER = ("content-type", "application/json")
 
-_logger = part_logger("platform")
-
-
-class KeyedRecord:
-    """A value that was written under a key.
-
-    Parameters
-    ----------
-    key : str
-        The key.
-    value : bytes or None
-        The value; None if the key was dropped.
-    """
-
-    __slots__ = ("key", "value")
-
-    def __init__(self, key, value):
-        self.key = key
-        self.value = value
-
 
 class Joined:
     """What a member of a group holds.
@@ -146,8 +129,8 @@
                     # "end" is the offset that the next record will get.
                     position = Position(answer.era, int(page["end"]))
                 self._check_era(position)
-                items = [_read_item(item) for item in page["items"]]
-                records += _readable(items, topic)
+                items = [read_item(item) for item in page["items"]]
+                records += readable(items, topic)
                 if not page["has_more"]:
                     return records, position
                 after = page["items"][-1]["key"]
@@ -169,7 +152,7 @@
         PlatformUnavailableError
             If no answer came in time; they may have been written.
         """
-        body = b"".join(_framed(record) for record in records)
+        body = b"".join(framed(record) for record in records)
         target = f"/siskinthread/log-append?topic={topic}&part={ONLY_PARTITION}"
         await self._call("append", "POST", target, body)
 
@@ -271,12 +254,12 @@
             # The position may be older than the first era that was told.
             raise SourceRestoredError("the store tells its era now")
         try:
-            contents = _split_records(answer.body)
+            contents = split_records(answer.body)
         except ValueError as error:
             raise _unreadable(error) from error
-        read = [_read_keyed(content) for content in contents]
+        read = [read_keyed(content) for content in contents]
         behind = Position(answer.era, position.offset + len(contents))
-        return _readable(read, topic), behind
+        return readable(read, topic), behind
 
     async def _call(self, name, method, target, body=b"", headers=(), extra_wait_s=0.0):
         """Return the `_StoreAnswer` to a call, which is sent once at most."""
@@ -286,7 +269,8 @@
         era = self._era_reader.read(answer.headers)
         await self.eras.note(era, told_by=SERVICE)
         if self.eras.is_over(era):
-            # A kept connection or a slow path may deliver what is no longer so.
+            # A kept connection may go on delivering what is no longer so.
+            await self._http.close()
             raise PlatformUnavailableError(f"{SERVICE}: answer of era {era}, now over")
         if answer.status != STATUS_OK:
             text = f"{SERVICE}: {name} was answered with status {answer.status}"
@@ -331,64 +315,5 @@
             raise SourceRestoredError(text)
 
 
-def _framed(record):
-    """Return the bytes of a `KeyedRecord` with their length before them."""
-    key = record.key.encode()
-    content = bytes([len(key)]) + key + (record.value or b"")
-    return len(content).to_bytes(LENGTH_BYTES, "big") + content
-
-
-def _read_item(item):
-    """Return the `KeyedRecord` of an item; None if its value can't be read."""
-    # An empty value can't be told from a dropped key here; neither is ever used.
-    try:
-        value = base64.b64decode(item["value"], validate=True)
-    except ValueError:
-        return None
-    return KeyedRecord(str(item["key"]), value or None)
-
-
-def _readable(records, topic):
-    """Return the records that could be read.
-
-    One that another writer has spoilt must not hide the others: the whole list would
-    stay as it was until that record is dropped.
-    """
-    readable = [one for one in records if one is not None]
-    if len(readable) < len(records):
-        count = len(records) - len(readable)
-        _logger.event("records are unreadable", topic=topic, count=count)
-    return readable
-
-
-def _split_records(body):
-    """Return the records behind the two offsets that an answer begins with."""
-    records = []
-    at = 2 * OFFSET_BYTES
-    if len(body) < at:
-        raise ValueError("answer without its offsets")
-    while at < len(body):
-        size = int.from_bytes(body[at : at + LENGTH_BYTES], "big")
-        at += LENGTH_BYTES
-        content = body[at : at + size]
-        if len(content) < size or not size:
-            raise ValueError("record is cut short")
-        records.append(content)
-        at += size
-    return records
-
-
-def _read_keyed(content):
-    """Return the `KeyedRecord` of a record; None if it has no readable key."""
-    key_end = 1 + content[0]
-    if len(content) < key_end:
-        return None
-    try:
-        key = content[1:key_end].decode()
-    except UnicodeDecodeError:
-        return None
-    return KeyedRecord(key, content[key_end:] or None)
-
-
 def _unreadable(error):
     return PlatformUnavailableError(f"{SERVICE}: unreadable answer: {error!r}")
--- /dev/null
+++ b/siskinthread/platform/_store_records.py
@@ -0,0 +1,87 @@
+"""Records of the platform's store: how they are framed, and what is made of them."""
+
+import base64
+
+from siskinthread.observability import part_logger
+
+OFFSET_BYTES = 8
+LENGTH_BYTES = 4
+
+_logger = part_logger("platform")
+
+
+class KeyedRecord:
+    """A value that was written under a key.
+
+    Parameters
+    ----------
+    key : str
+        The key.
+    value : bytes or None
+        The value; None if the key was dropped.
+    """
+
+    __slots__ = ("key", "value")
+
+    def __init__(self, key, value):
+        self.key = key
+        self.value = value
+
+
+def framed(record):
+    """Return the bytes of a `KeyedRecord` with their length before them."""
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + (record.value or b"")
+    return len(content).to_bytes(LENGTH_BYTES, "big") + content
+
+
+def read_item(item):
+    """Return the `KeyedRecord` of an item; None if its value can't be read."""
+    # An empty value can't be told from a dropped key here; neither is ever used.
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+    except ValueError:
+        return None
+    return KeyedRecord(str(item["key"]), value or None)
+
+
+def readable(records, topic):
+    """Return the records that could be read.
+
+    One that another writer has spoilt must not hide the others: the whole list would
+    stay as it was until that record is dropped.
+    """
+    kept = [one for one in records if one is not None]
+    if len(kept) < len(records):
+        count = len(records) - len(kept)
+        _logger.event("records are unreadable", topic=topic, count=count)
+    return kept
+
+
+def split_records(body):
+    """Return the records behind the two offsets that an answer begins with."""
+    records = []
+    at = 2 * OFFSET_BYTES
+    if len(body) < at:
+        raise ValueError("answer without its offsets")
+    while at < len(body):
+        size = int.from_bytes(body[at : at + LENGTH_BYTES], "big")
+        at += LENGTH_BYTES
+        content = body[at : at + size]
+        if len(content) < size or not size:
+            raise ValueError("record is cut short")
+        records.append(content)
+        at += size
+    return records
+
+
+def read_keyed(content):
+    """Return the `KeyedRecord` of a record; None if it has no readable key."""
+    key_end = 1 + content[0]
+    if len(content) < key_end:
+        return None
+    try:
+        key = content[1:key_end].decode()
+    except UnicodeDecodeError:
+        return None
+    return KeyedRecord(key, content[key_end:] or None)
--- a/siskinthread/platform/_stored_suspects.py
+++ b/siskinthread/platform/_stored_suspects.py
@@ -5,7 +5,7 @@
 from siskinthread.errors import DocumentError, ProtocolError
 from siskinthread.observability import part_logger
 from siskinthread.platform._sources import decode_json
-from siskinthread.platform._store import KeyedRecord
+from siskinthread.platform._store_records import KeyedRecord
 from siskinthread.poison_requests import StoredChange, SuspectStatement
 
 TOPIC = "keyed.suspects"
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -18,7 +18,7 @@
 from siskinthread.platform._rank_places import fetch_rank_places, rank_places_page
 from siskinthread.platform._server_entry import read_target_entry
 from siskinthread.platform._sources import ListedTargets
-from siskinthread.platform._store import _read_keyed, _split_records, KeyedRecord
+from siskinthread.platform._store_records import KeyedRecord, read_keyed, split_records
 from siskinthread.platform._wire import EXPECTED_INSTANCE, PlatformWire
 from siskinthread.platform.tests.system import published, route
 from siskinthread.settings import Address
@@ -122,12 +122,12 @@
 def test_any_bytes_are_records_or_an_error(data):
     """A torn answer of the store is noticed, and any record in it is one or none."""
     try:
-        contents = _split_records(data)
+        contents = split_records(data)
     except ValueError:
         return
     for content in contents:
         assert content
-        _read_keyed(content)
+        read_keyed(content)
 
 
 @given(st.lists(st.tuples(st.text(max_size=20), st.binary(max_size=40)), max_size=5))
@@ -137,7 +137,7 @@
     for key, value in records:
         content = bytes([len(key.encode())]) + key.encode() + value
         data += len(content).to_bytes(4, "big") + content
-    read = [_read_keyed(content) for content in _split_records(data)]
+    read = [read_keyed(content) for content in split_records(data)]
     read = [(one.key, one.value) for one in read]
     assert read == [(key, value or None) for key, value in records]
 
--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -7,7 +7,7 @@
 from siskinthread.gateway import StatusPage
 from siskinthread.peer_news import HostState, ListStatement
 from siskinthread.platform._snapshots import snapshot_page
-from siskinthread.platform._store import KeyedRecord
+from siskinthread.platform._store_records import KeyedRecord
 from siskinthread.platform.tests.system import (
     listed,
     published,
--- a/siskinthread/platform/tests/test_store_era.py
+++ b/siskinthread/platform/tests/test_store_era.py
@@ -8,8 +8,9 @@
 from siskinthread.errors import PlatformUnavailableError, SourceRestoredError
 from siskinthread.observability import Metrics
 from siskinthread.platform._shares import StoreShares
-from siskinthread.platform._store import KeyedRecord, StoreClient
+from siskinthread.platform._store import StoreClient
 from siskinthread.platform._store_era import EraReader
+from siskinthread.platform._store_records import KeyedRecord
 from siskinthread.settings import Address
 from siskinthread.source_eras import EraWatch, Position
 from standins._http_server import HttpServer
@@ -110,6 +111,37 @@
     assert run_client(test) == 3
 
 
+class ForgottenConnection(AnsweringStore):
+    """Answers on its first connection as before the restore, for good."""
+
+    def __init__(self):
+        super().__init__()
+        self._first = None
+
+    async def handle(self, request, exchange):
+        """Answer one call."""
+        self._first = self._first or exchange._client
+        is_first = exchange._client is self._first
+        self.headers = [("store-era", "1" if is_first else "2")]
+        await super().handle(request, exchange)
+
+
+def test_connection_that_answers_from_before_is_not_used_again():
+    """Symptom: a host serves by old news for as long as one connection lives.
+
+    Events: the store comes back older; a kept connection still reaches what it was.
+    """
+
+    async def test(store, client):
+        await client.read_newest(TOPIC)
+        await client.eras.note(2, told_by="peer")
+        with pytest.raises(PlatformUnavailableError):
+            await client.read_newest(TOPIC)
+        return (await client.read_newest(TOPIC))[1].era
+
+    assert run_client(test, ForgottenConnection()) == 2
+
+
 def test_store_that_tells_no_era_works_on():
     """An older store has no such header, in any answer."""
 
--- a/siskinthread/platform/tests/test_stored_suspects.py
+++ b/siskinthread/platform/tests/test_stored_suspects.py
@@ -5,7 +5,8 @@
 import curio
 
 from siskinthread.observability import Metrics
-from siskinthread.platform._store import KeyedRecord, StoreClient
+from siskinthread.platform._store import StoreClient
+from siskinthread.platform._store_records import KeyedRecord
 from siskinthread.platform._stored_suspects import StoredSuspects, TOPIC
 from siskinthread.platform.tests.system import until
 from siskinthread.poison_requests import (
