--- a/siskinthread/gateway/_table_following.py
+++ b/siskinthread/gateway/_table_following.py
@@ -36,8 +36,6 @@
     ----------
     dependency : Dependency
         Whether the source answers.
-    newest_read : int
-        Newest version that was read from the source in its present era; 0 if none was.
     peers : siskinthread.peer_news.PeerNews or None
         Tells whether this host is the first of its failure domain to ask again.
     """
@@ -52,7 +50,6 @@
         "_view",
         "_woken",
         "dependency",
-        "newest_read",
         "peers",
     )
 
@@ -66,7 +63,6 @@
         # Whether the next read must be answered at once.
         self._is_asked_again = False
         self._woken = curio.Event()
-        self.newest_read = 0
         self.peers = None
         self.dependency = Dependency("published configuration", clock)
 
@@ -114,7 +110,6 @@
         _logger.event("published configuration is read anew", reason=str(error))
         self._position = None
         if isinstance(error, SourceRestoredError):
-            self.newest_read = 0
             await self._wait_for_turn()
 
     async def _wait_for_turn(self):
@@ -145,7 +140,6 @@
 
     def _put_in_force(self, table):
         before = self._view.table
-        self.newest_read = max(self.newest_read, table.version)
         if before is not None and table.version < before.version:
             _logger.event(
                 "older configuration is not put in force",
