--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -248,8 +248,8 @@
 
         Where there are many hosts, each other domain is heard of once a second, by one
         datagram that may be lost.  Taken for silent after 1.5 s, its groups were
-        controlled from two domains at once, three times within 6 s, and two of three
-        map changes were refused.
+        controlled from two domains at once, twice within 3 s, and three of eight map
+        changes did not begin.
         """
         oldest_s = self._clock.monotonic_s() - self._settings.domain_memory_s
         return {
--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -28,9 +28,8 @@
         minimum=1,
         description="Targets that may end under a request before it pauses for "
         "`pause_s`. By the second one it is probable that the request ends them, and "
-        "each end stops a whole group for some 5 s. It is not sure: one of some "
-        "hundred others that are under way at a target meets two ends by chance where "
-        "many targets end at once.",
+        "each end stops a whole group for some 5 s. It is not sure: where many "
+        "targets end at once, a request that ends none may meet two ends by chance.",
     )
     pause_s = Item(
         float,
