Log how old the list of targets was at a choice, and how long a connection had rested

Ruled out: nothing by this commit. Change: attempts carry list_age_s and rested_s; the trace shows them; no logic changes. Conclusion: the next such line tells stale choice from silent connection.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -81,6 +81,10 @@
         Whether a byte of the request was sent.
     load_when_chosen : int
         Requests that the target was believed to have.
+    list_age_s : float or None
+        How long before the choice the list of targets was last confirmed.
+    rested_s : float or None
+        How long its connection had rested; None for a new one.
     is_success : bool
         Whether the target's status says that it has served the request.
     is_broken_off : bool
@@ -108,8 +112,10 @@
         "is_group_fault",
         "is_stale",
         "is_success",
+        "list_age_s",
         "load_when_chosen",
         "reason",
+        "rested_s",
         "result",
         "written",
     )
@@ -132,6 +138,8 @@
         self.is_group_fault = False
         self.is_stale = False
         self.load_when_chosen = parts.loads.total(entry.instance_id)
+        self.list_age_s = parts.targets.age_s()
+        self.rested_s = None
 
     async def run(self):
         """Send the request and take its answer; sets `result`."""
@@ -171,6 +179,7 @@
         self._connection = connection = await parts.pool.take(
             self.entry, request.kind.is_repeatable, request.deadline
         )
+        self.rested_s = connection.rested_s
         headers = parts.wire.target_headers(
             request, self.entry, self._reply.last_event_id
         )
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -102,6 +102,8 @@
                 "result": attempt.result.value if attempt.result else "cancelled",
                 "reason": attempt.reason,
                 "target_ended": attempt.has_target_ended,
+                "list_age_s": _rounded(attempt.list_age_s),
+                "rested_s": _rounded(attempt.rested_s),
             }
             for attempt in self._attempts
         ]
@@ -262,6 +264,10 @@
         await self._reply.own(status, headers, own_body(end))
 
 
+def _rounded(time_s):
+    return None if time_s is None else round(time_s, 3)
+
+
 def own_body(end):
     """Return the body of an answer of the gateway itself, as bytes."""
     error = {
--- a/siskinthread/gateway/_snapshots.py
+++ b/siskinthread/gateway/_snapshots.py
@@ -161,6 +161,7 @@
             told = (state.table_version, state.listing.digest)
         if told is not None and told == self._taken and not self._knows_nothing():
             self.dependency.answered()
+            self._targets.note_confirmed()
             return
         if await self._take_from(address, is_informed=True):
             self._taken = told
@@ -185,4 +186,6 @@
             )
         if with_targets:
             self._targets.replace(snapshot.entries, is_sure=is_informed)
+            if is_informed:
+                self._targets.note_confirmed()
         return True
--- a/siskinthread/gateway/_target_connection.py
+++ b/siskinthread/gateway/_target_connection.py
@@ -38,6 +38,8 @@
         is False, the target can't have run the request.
     was_used : bool
         Whether an exchange was finished on it before the present one.
+    rested_s : float or None
+        How long it had rested when it was last taken; None for a new one.
     """
 
     __slots__ = (
@@ -46,9 +48,11 @@
         "_http",
         "_request",
         "_rest_deadline",
+        "_rests_since_s",
         "_sender",
         "_settings",
         "_socket",
+        "rested_s",
         "was_used",
         "written",
     )
@@ -61,7 +65,9 @@
         self._request = None
         self._body = b""
         self._rest_deadline = None
+        self._rests_since_s = None
         self._sender = None
+        self.rested_s = None
         self.was_used = False
         self.written = False
 
@@ -187,6 +193,7 @@
             # The target's own time runs from its side; half of it is safe from a race.
             limit_s = min(limit_s, rest_limit_s / 2)
         self._rest_deadline = Deadline.after(self._clock, limit_s)
+        self._rests_since_s = self._clock.monotonic_s()
         self.was_used = True
         return True
 
@@ -194,6 +201,10 @@
         """Return whether a resting connection may carry another request."""
         return not self._rest_deadline.passed() and not self._readable()
 
+    def end_rest(self):
+        """Note that the next exchange begins."""
+        self.rested_s = self._clock.monotonic_s() - self._rests_since_s
+
     async def close(self):
         """Close the connection, which also cancels what runs on it."""
         async with curio.disable_cancellation():
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -141,6 +141,7 @@
         if statement.digest == self._digest.value:
             if self._position.is_behind(statement.position):
                 self._position = statement.position
+            self._targets.note_confirmed(statement.age_s)
             left_s = self._age_limit_s() - statement.age_s
             if left_s > self._next_read.left_s():
                 self._next_read = Deadline.after(self._clock, left_s)
@@ -165,6 +166,7 @@
     async def _note_read(self, began_at_s):
         self._read_at_s = began_at_s
         spent_s = self._clock.monotonic_s() - began_at_s
+        self._targets.note_confirmed(spent_s)
         left_s = max(0.0, self._age_limit_s() - spent_s)
         self._next_read = Deadline.after(self._clock, left_s)
         if self._reads_for_others():
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -87,6 +87,7 @@
 
     __slots__ = (
         "_clock",
+        "_confirmed_at_s",
         "_entries",
         "_gone",
         "_grace",
@@ -115,12 +116,25 @@
         # the list must not bring them back.
         self._gone = OrderedDict()
         self._grace = Deadline.after(clock, 0.0)
+        self._confirmed_at_s = None
         self._listeners = []
 
     def listen(self, callback):
         """Call `callback` with a `TargetEntry` that must get no more requests."""
         self._listeners.append(callback)
 
+    def note_confirmed(self, age_s=0.0):
+        """Note that the list was as its source has it so many seconds ago."""
+        confirmed_at_s = self._clock.monotonic_s() - age_s
+        if self._confirmed_at_s is None or confirmed_at_s > self._confirmed_at_s:
+            self._confirmed_at_s = confirmed_at_s
+
+    def age_s(self):
+        """Return the seconds since the list was confirmed, None before that."""
+        if self._confirmed_at_s is None:
+            return None
+        return self._clock.monotonic_s() - self._confirmed_at_s
+
     def note_outage(self):
         """Note that the source of the entries is away at this moment."""
         self._grace = Deadline.after(self._clock, self._settings.lapse_grace_s)
--- a/siskinthread/gateway/_target_pool.py
+++ b/siskinthread/gateway/_target_pool.py
@@ -44,6 +44,7 @@
         while idle:
             connection = idle.pop()
             if connection.is_fresh():
+                connection.end_rest()
                 return connection
             await connection.close()
         connection = TargetConnection(self._settings, self._clock)
--- a/siskinthread/gateway/tests/test_target_following.py
+++ b/siskinthread/gateway/tests/test_target_following.py
@@ -257,3 +257,17 @@
         return ids(following.targets.serving("app"))
 
     assert run(test) == ["i-1", "i-2"]
+
+
+def test_age_of_the_list_is_that_of_the_newest_confirmation():
+    """An own read and a peer's word confirm the list, an older word does not."""
+
+    async def test(following):
+        assert following.targets.age_s() == pytest.approx(0.0)
+        following.clock.advance(0.7)
+        await following.follower.hear(same_list(following, age_s=0.2))
+        assert following.targets.age_s() == pytest.approx(0.2)
+        await following.follower.hear(same_list(following, age_s=0.5))
+        assert following.targets.age_s() == pytest.approx(0.2)
+
+    run(test)
--- a/siskinthread/tracing/_trace.py
+++ b/siskinthread/tracing/_trace.py
@@ -128,6 +128,10 @@
         text += f", {attempt['reason']}"
     if attempt.get("target_ended"):
         text += "; the target has ended"
+    if attempt.get("list_age_s") is not None:
+        text += f"; chosen by a list {attempt['list_age_s']} s old"
+    if attempt.get("rested_s") is not None:
+        text += f"; on a connection that had rested {attempt['rested_s']} s"
     return text
 
 
--- a/siskinthread/tracing/tests/test_trace.py
+++ b/siskinthread/tracing/tests/test_trace.py
@@ -90,6 +90,15 @@
     assert "lost, connection failed; the target has ended" in text
 
 
+def test_age_of_the_list_and_rest_of_the_connection_are_told():
+    """They tell a choice by an old list, and a connection that had gone silent."""
+    values = request(100.0, "id-1")
+    values["attempts"][0] |= {"list_age_s": 2.63, "rested_s": 3.69}
+    text = find_request([json.dumps(values)], "id-1").render()
+    assert "chosen by a list 2.63 s old" in text
+    assert "on a connection that had rested 3.69 s" in text
+
+
 def test_what_earlier_tries_did_is_found_however_long_ago():
     """Symptom: a refusal that names targets which no line near it is about.
 
