--- a/scripts/_fault_proxy.py
+++ b/scripts/_fault_proxy.py
@@ -8,7 +8,8 @@
   carry nothing from then on, and are not closed;
 - ``POST /reset``: all open connections are reset;
 - ``POST /link`` with ``delay_ms`` and ``cut``, a list of ``"to"`` and ``"from"``: what
-  goes that way is held until the cut ends;
+  goes that way is held until the cut ends, and lost if its sender has reset the
+  connection by then;
 - ``GET /counts``.
 
 With ``--refuse`` a relay does not listen while nothing does where it relays to, as if
@@ -174,13 +175,27 @@
             "silenced": self.silenced,
         }
 
+    async def _hold(self, source, direction):
+        """Wait for the end of a cut.
+
+        Raises
+        ------
+        ConnectionResetError
+            If the sender has reset its connection: what is on its way is lost then, as
+            the sender's system does not send it again.
+        """
+        while direction in self.cut:
+            await curio.sleep(CUT_POLL_S)
+        if source.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise ConnectionResetError
+
     async def _pump(self, connection, source, sink, direction):
         try:
             while True:
                 data = await source.recv(RECEIVE_SIZE_BYTES)
                 await curio.sleep(self.delay_s)
-                while direction in self.cut:
-                    await curio.sleep(CUT_POLL_S)
+                if direction in self.cut:
+                    await self._hold(source, direction)
                 if connection.silent:
                     # The end of the connection is not relayed either: whoever waits
                     # on the other side must find out by itself.
