Reset calls of services and of engines that are given up, too

What was wrong: the client of the store, of ranks and of peers closed its connection when its wait was over, as did the older slice's connections to targets. A call that was held up by a cut took effect when the path was back: an order to a rank after later ones, a conditional write after its sender had acted on its failure. Ruled out: the channels of links; their end carries frames that must arrive. Change: both end an exchange that was given up by sockets.reset().

--- a/siskinthread/shared_services/_http.py
+++ b/siskinthread/shared_services/_http.py
@@ -7,6 +7,7 @@
 import h11
 
 from siskinthread.errors import PlatformRefusedError, PlatformUnavailableError
+from siskinthread.sockets import reset
 
 RECEIVE_SIZE_BYTES = 64 * 1024
 SIZE_LIMIT_BYTES = 64 * 1024 * 1024
@@ -181,8 +182,9 @@
             result = await connection.exchange(method, target, body, headers)
         except BaseException:
             # A connection that failed or was given up half-way may still deliver the
-            # late answer, which the next request would take for its own.
-            await connection.close()
+            # late answer, which the next request would take for its own.  It is reset,
+            # or a call that is held up would take effect after later ones.
+            await connection.give_up()
             raise
         if connection.reusable() and len(self._idle) < IDLE_CONNECTIONS_KEPT:
             self._idle.append(connection)
@@ -276,9 +278,13 @@
         )
 
     async def close(self):
-        """Close the connection."""
+        """Close the connection after an exchange, or without one."""
         await self._socket.close()
 
+    async def give_up(self):
+        """End the connection within an exchange."""
+        await reset(self._socket)
+
     def _encode(self, method, target, body, headers):
         framing = [("host", self._authority), ("content-length", str(len(body)))]
         request = h11.Request(
--- a/siskinthread/shared_services/tests/test_http.py
+++ b/siskinthread/shared_services/tests/test_http.py
@@ -3,7 +3,9 @@
 import curio
 import pytest
 
+from scripts._fault_proxy import FROM, Relay, TO
 from siskinthread.errors import PlatformUnavailableError
+from siskinthread.settings import Address
 from siskinthread.shared_services import HostListClient, LogClient
 from siskinthread.shared_services._http import HttpClient
 from siskinthread.shared_services.tests._raw_server import (
@@ -174,3 +176,33 @@
         assert (entry.failure_domain, entry.leaving) == ("steinkjer", True)
 
     curio.run(main)
+
+
+def test_call_that_was_given_up_in_a_cut_does_not_arrive_after_it():
+    """An order reaches its rank after newer ones, seconds after it was given up.
+
+    The path is cut while a call is under way; the client waits its time and closes the
+    connection.  The kernel goes on sending what it holds, so that the call takes
+    effect when the path is back, although its sender has long acted on its failure.
+    """
+    arrived = []
+
+    async def play(client, number):
+        if await read_head(client):
+            arrived.append(number)
+            await client.sendall(json_answer(b"[]"))
+
+    async def main():
+        async with RawServer(play) as server:
+            relay = Relay(server.address.host, server.address.port)
+            relaying = await curio.spawn(relay.run)
+            client = HttpClient("rank", Address(*relay.address), 0.05)
+            relay.cut = {TO, FROM}
+            with pytest.raises(PlatformUnavailableError, match="no answer"):
+                await client.call("POST", "/order", b"", [], 0.05)
+            relay.cut = set()
+            await curio.sleep(0.1)
+            await relaying.cancel()
+
+    curio.run(main)
+    assert not arrived
--- a/siskinthread/targets/_connection.py
+++ b/siskinthread/targets/_connection.py
@@ -8,6 +8,7 @@
 
 from siskinthread.errors import ConnectionLostError, TargetError
 from siskinthread.outcomes import Head
+from siskinthread.sockets import reset
 from siskinthread.timing import Deadline
 
 RECEIVE_SIZE_BYTES = 64 * 1024
@@ -227,3 +228,10 @@
     async def close(self):
         """Close the connection."""
         await self._socket.close()
+
+    async def abort(self):
+        """End the connection within an exchange.
+
+        A request that is still on its way must not run once it was given up.
+        """
+        await reset(self._socket)
--- a/siskinthread/targets/_pool.py
+++ b/siskinthread/targets/_pool.py
@@ -93,9 +93,9 @@
             await connection.close()
 
     async def drop(self, connection):
-        """Close a connection whose exchange broke off."""
+        """End a connection whose exchange broke off."""
         self._in_use.discard(connection)
-        await connection.close()
+        await connection.abort()
 
     async def close(self):
         """Close the idle connections."""
