Count the end of a target whose connections end before its listener

What callers saw: make demo failed once; the second of four tries of a request that ends its targets was answered 502 and its target's end was not counted, so that the third was let through to one target more. 502 was true: that try had run. Cause: a process that exits closes its connections before its listener. The look whether a target has ended was accepted in between, and took it for one that goes on. Ruled out: a try sent to a target known to have ended (the lost try's target is passed over after it); an end left out of the count for another reason (the line of the end itself is missing). Change: a look must stay open for 20 ms; one that is reset is made once more, and only a refusal counts. A target that goes on costs its caller these 20 ms before a second try. The demo's expectation was right.

--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -163,7 +163,7 @@
         target = attempt.entry.instance_id
         # One that leaves ends as planned.
         is_serving = self._parts.targets.is_serving(target)
-        attempt.has_target_ended = await has_ended(attempt.entry, self._parts)
+        attempt.has_target_ended = await has_ended(attempt.entry, self._parts.settings)
         if not attempt.has_target_ended:
             return
         _logger.event(
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -283,6 +283,14 @@
         "still listens. Hosts are less than 15 ms apart, and one whose process has "
         "ended refuses at once.",
     )
+    end_settle_s = Item(
+        float,
+        default=0.02,
+        minimum=0.0,
+        description="How long a connection to such a target must stay open for the "
+        "target to count as one that goes on. A process that exits resets it as soon "
+        "as its listener is closed, which may come after the end of its connections.",
+    )
     ejection_s = Item(
         float,
         default=1.0,
--- a/siskinthread/gateway/_target_end.py
+++ b/siskinthread/gateway/_target_end.py
@@ -3,16 +3,20 @@
 import curio
 from curio import socket
 
+# A process that exits may end its connections before its listener.  The first look is
+# then accepted and reset; the second one meets no listener.
+LOOK_COUNT = 2
 
-async def has_ended(entry, parts):
+
+async def has_ended(entry, settings):
     """Return whether nothing listens at a target's address any more.
 
     Parameters
     ----------
     entry : TargetEntry
         The target, which has just broken an exchange off.
-    parts : GatewayParts
-        Has the settings.
+    settings : GatewaySettings
+        Limits.
 
     Returns
     -------
@@ -20,14 +24,32 @@
         Only a refused connection shows it: the target's host is there, its process is
         not.  A host without power or behind a cut does not answer at all.
     """
-    checking = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    wait_s = settings.end_check_limit_s
     try:
-        wait_s = parts.settings.end_check_limit_s
-        await curio.timeout_after(wait_s, checking.connect, (entry.host, entry.port))
-    except ConnectionRefusedError:
-        return True
-    except (OSError, curio.TaskTimeout):
+        return await curio.timeout_after(wait_s, _find_out, entry, settings)
+    except curio.TaskTimeout:
         return False
+
+
+async def _find_out(entry, settings):
+    for _ in range(LOOK_COUNT):
+        try:
+            if await _stays_open(entry, settings.end_settle_s):
+                return False
+        except ConnectionRefusedError:
+            return True
+        except ConnectionResetError:
+            continue
+        except OSError:
+            return False
+    return False
+
+
+async def _stays_open(entry, wait_s):
+    """Connect; return whether the target does not close the connection at once."""
+    checking = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        await checking.connect((entry.host, entry.port))
+        return await curio.ignore_after(wait_s, checking.recv, 1) is None
     finally:
         await checking.close()
-    return False
