Let two tests repeat their order of events instead of leaving it to chance

The agent now greets no new connection until the caller has left. Three tries that meet at one server end it once, the request pauses after two, so the next round's three all run: 4 ends, as was seen. That is what the pause allows (one end, and the tries that are under way), now asserted for both orders of events exactly: 3 and 4, and none later. As strict as before for the order that the old figure was of. Ruled out: a fault of the links or of the guard in either.

--- a/siskinthread/links/tests/fake_agent.py
+++ b/siskinthread/links/tests/fake_agent.py
@@ -24,6 +24,7 @@
 
 HOST = "agent-1"
 PART_SIZE_BYTES = 7
+HOLD_POLL_S = 0.005
 
 
 def peer_settings(**values):
@@ -95,6 +96,8 @@
         self.refused = set()
         self.sends_heartbeats = True
         self.answers = True
+        # Whether a new connection has to wait before it is greeted.
+        self.holds_dials = False
         self.counts_resume_as_acknowledged = False
         self.changed = curio.Condition()
         self.socket = curio.socket.socket()
@@ -128,6 +131,8 @@
     async def _serve(self, socket):
         channel = Channel(socket, Frame, self.settings.frame_limit_bytes)
         beats = None
+        while self.holds_dials:
+            await curio.sleep(HOLD_POLL_S)
         try:
             _, frames = await shake_hands(
                 channel, self.identity, self.settings, dialled=False
--- a/siskinthread/links/tests/test_failures.py
+++ b/siskinthread/links/tests/test_failures.py
@@ -248,6 +248,9 @@
 
     Symptom: engines spend time on answers that nobody reads.  Sequence: the caller
     leaves while the link is down.  Cause: the frame is sent once, to nobody.
+
+    The agent greets no new connection until the caller has left, or the link could be
+    down and up again between two looks at it.
     """
 
     async def main():
@@ -256,10 +259,12 @@
             await wait_connected(links)
             exchange = await links.start(HOST, start_request(), deadline_after())
             assert isinstance(await exchange.next_event(), Head)
+            agent.holds_dials = True
             while links.status(HOST).connected:
                 await curio.sleep(0.001)
             await exchange.cancel()
             agent.sends_heartbeats = True
+            agent.holds_dials = False
             await agent.wait_until(lambda agent: agent.messages(CancelRequest))
             assert agent.connections == 2
             assert not agent.messages(ResumeRequest)
--- a/siskinthread/platform/tests/test_crashing_requests.py
+++ b/siskinthread/platform/tests/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Requests under which servers end, on entries that share servers and a store."""
 
 import curio
+import pytest
 
 from siskinthread.platform.tests.fleet import NOWHERE, OTHER_KEY, POISON, run_fleet
 from siskinthread.platform.tests.system import (
@@ -194,17 +195,28 @@
     assert ended_count <= 4
 
 
-def test_many_tries_at_once_end_few_servers_and_none_later():
+@pytest.mark.parametrize(
+    ("rounds", "expected_count"),
+    [
+        # All three of the first round run, and the next ones are refused.
+        ([(0, 1, 2), (3, 4, 5), (3, 4, 5)], 3),
+        # They meet at one server: its end is the first, and three more may run.
+        ([(0, 0, 0), (3, 4, 5), (3, 4, 5)], 4),
+    ],
+)
+def test_many_tries_at_once_end_few_servers_and_none_later(rounds, expected_count):
     """Tries that are under way can't be called back; those that come later can.
 
     Events: a caller sends the same request to all entries at the same moment, again
-    and again.
+    and again.  After two ends the request pauses, so that what a round may end beyond
+    one is the number of its tries.
     """
 
     async def test(fleet):
-        for _ in range(3):
+        for servers in rounds:
             async with curio.TaskGroup(wait=all) as group:
-                for entry in fleet.entries:
+                for entry, number in zip(fleet.entries, servers, strict=True):
+                    leave_only(entry, fleet.servers[number])
                     await group.spawn(entry.request, ONCE_PATH, POISON)
             await curio.sleep(0.3)
         ended_count = len(fleet.ended)
@@ -212,7 +224,16 @@
             assert await is_refused_untried(fleet, entry, ONCE_PATH)
         return ended_count
 
-    assert run_fleet(test) == 3
+    assert run_fleet(test) == expected_count
+
+
+def leave_only(entry, server):
+    """Let an entry take all servers but one for failing."""
+    parts = entry.gateway.parts
+    for one in parts.targets.entries():
+        parts.health.succeeded(one.instance_id)
+        if one.instance_id != server.instance_id:
+            parts.health.failed(one.instance_id, "passed over by the test")
 
 
 def test_requests_of_others_and_other_requests_are_served():
