--- a/siskinthread/platform/tests/test_crashing_requests.py
+++ b/siskinthread/platform/tests/test_crashing_requests.py
@@ -198,18 +198,19 @@
 @pytest.mark.parametrize(
     ("rounds", "expected_count"),
     [
-        # All three of the first round run, and the next ones are refused.
+        # Each of the first round ends a server, and the next ones are refused.
         ([(0, 1, 2), (3, 4, 5), (3, 4, 5)], 3),
-        # They meet at one server: its end is the first, and three more may run.
+        # All or two of them meet at one server, so that the next round runs.
         ([(0, 0, 0), (3, 4, 5), (3, 4, 5)], 4),
+        ([(0, 0, 1), (3, 4, 5), (3, 4, 5)], 5),
     ],
 )
 def test_many_tries_at_once_end_few_servers_and_none_later(rounds, expected_count):
     """Tries that are under way can't be called back; those that come later can.
 
     Events: a caller sends the same request to all entries at the same moment, again
-    and again.  After two ends the request pauses, so that what a round may end beyond
-    one is the number of its tries.
+    and again.  After three ends the request is kept off, so that a round that begins
+    with two may end as many more as it has tries.
     """
 
     async def test(fleet):
