--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -113,6 +113,10 @@
         """Serve until cancelled."""
         await curio.network.run_server(self._listener, self.serve)
 
+    def serve_by(self, default):
+        """Do something else from now on when no behaviour is scripted."""
+        self._default = default
+
     async def end(self):
         """End as a process does: nothing listens, and all connections are closed."""
         self.is_up = False
