Obey the rates that targets in need name, all entries together

What callers saw: nothing directly; a server in need that named 4 requests a second got 44 to 53 in 4 s where 29 are allowed, and could not recover. Cause: nothing read the limit. Change: the adapter reads it from every answer of a server into a typed value; target_limits keeps what is believed of it, by own answers and by news of peers, newest first; a request is let through with the claim that the usable rate has to what callers ask all entries for (told by news while a limit is known, nothing else is told). What a limited target can't take goes to another one; where all are limited it is refused at once with a place to come back. A limit ends by an answer without it, returns by steps, and a silent one is tested by one entry at a time. Not held: a surge of many times within a second over many entries of which each gets less than one request a second; news are a second old there.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -180,6 +180,7 @@
             self.entry, request.kind.is_repeatable, request.deadline
         )
         self.rested_s = connection.rested_s
+        sent_at_s = parts.clock.monotonic_s()
         headers = parts.wire.target_headers(
             request, self.entry, self._reply.last_event_id
         )
@@ -197,6 +198,7 @@
         facts = parts.wire.read_answer(head)
         if facts.load is not None:
             parts.loads.report(self.entry.instance_id, facts.load)
+        parts.limits.note_answer(self.entry, sent_at_s, facts.stated_limit)
         if facts.not_run:
             await self._take_decline(facts)
         elif _is_event_stream(head):
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -63,6 +63,7 @@
             must be closed, which shows the caller that the answer is not whole.
         """
         self._parts.budgets.note_request(self._request.service_name)
+        self._parts.limits.note_asked(self._request.service_name)
         account = self._request.account
         if account is None:
             return await self._try_targets()
@@ -81,6 +82,7 @@
                 self._parts, self._request, chosen, self._reply, self._should_leave
             )
             self._attempts.append(attempt)
+            self._parts.limits.note_sent(chosen.instance_id)
             await attempt.run()
             self._note(attempt)
             await self._note_for_others(attempt)
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -113,6 +113,10 @@
             [self._table_follower.dependency],
             ended_count,
         )
+        limited = metrics.gauge(
+            "gateway_limited_targets", "Targets that have named a limit."
+        )
+        limited.set_function(self.parts.limits.limited_count)
         self.control_home = ControlHome(
             settings,
             failure_domain,
@@ -141,6 +145,8 @@
         peers.describe = self._describe
         peers.take_listing = self._target_follower.hear
         peers.poison = self.parts.poison
+        peers.limits = self.parts.limits
+        self.parts.limits.peers = peers
         self._target_follower.peers = peers
         self._table_follower.peers = peers
         self.parts.loads.peers = peers
@@ -273,6 +279,8 @@
             self.parts.progress.passes_s(),
             self.parts.accounts.own_counts(),
             slow_targets=self.parts.slow_targets.own_ids(),
+            limits=self.parts.limits.statements(),
+            asked_rates=self.parts.limits.asked_rates(),
         )
 
     async def _keep_up(self):
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -10,6 +10,7 @@
 from siskinthread.gateway._target_pool import TargetPool
 from siskinthread.poison_requests import PoisonRegister
 from siskinthread.retry_budget import FleetPart, ServiceRetryBudgets
+from siskinthread.target_limits import TargetLimits
 
 
 class Measures:
@@ -73,6 +74,7 @@
         "choice",
         "clock",
         "health",
+        "limits",
         "loads",
         "measures",
         "poison",
@@ -102,6 +104,7 @@
         self.accounts = AccountShares(settings, clock)
         self.slow_targets = SlowTargets(settings, clock)
         self.poison = PoisonRegister(settings.poison, clock)
+        self.limits = TargetLimits(settings.limits, clock, random)
         self.targets.listen(self._forget)
         self.choice = TargetChoice(
             settings,
@@ -112,6 +115,7 @@
             self.progress,
             self.accounts,
             self.slow_targets,
+            self.limits,
             random,
         )
 
@@ -119,3 +123,4 @@
         """Drop what is known of a target that gets no more requests."""
         self.health.forget(entry.instance_id)
         self.loads.forget(entry.instance_id)
+        self.limits.forget(entry.instance_id)
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -143,6 +143,8 @@
         How long the target keeps an idle connection, seconds.
     closes : bool
         Whether the connection ends with this answer.
+    stated_limit : siskinthread.target_limits.StatedLimit
+        What it says of the rate of requests that the target takes.
     """
 
     __slots__ = (
@@ -153,6 +155,7 @@
         "not_run",
         "request_id",
         "rest_limit_s",
+        "stated_limit",
     )
 
     def __init__(
@@ -164,6 +167,7 @@
         load,
         rest_limit_s,
         closes,
+        stated_limit,
     ):
         self.request_id = request_id
         self.not_run = not_run
@@ -172,3 +176,4 @@
         self.load = load
         self.rest_limit_s = rest_limit_s
         self.closes = closes
+        self.stated_limit = stated_limit
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -2,6 +2,7 @@
 
 from siskinthread.poison_requests import PoisonSettings
 from siskinthread.settings import Item, Section
+from siskinthread.target_limits import TargetLimitSettings
 
 
 class GatewaySettings(Section):
@@ -409,6 +410,10 @@
         minimum=0.01,
         description="Time between two looks at connections that rest.",
     )
+    limits = Item(
+        TargetLimitSettings,
+        description="Rates that targets in need name, and how they are shared.",
+    )
     poison = Item(
         PoisonSettings,
         description="Requests under which targets end, and their limits.",
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -24,6 +24,8 @@
         Which client accounts use more than their share.
     slow_targets : SlowTargets
         Which targets hold others back.
+    limits : siskinthread.target_limits.TargetLimits
+        Which targets take a limited rate of requests.
     random : random.Random
         Breaks ties.
 
@@ -46,6 +48,7 @@
         "_accounts",
         "_failure_domain",
         "_health",
+        "_limits",
         "_loads",
         "_progress",
         "_random",
@@ -65,9 +68,11 @@
         progress,
         accounts,
         slow_targets,
+        limits,
         random,
     ):
         self._slow_targets = slow_targets
+        self._limits = limits
         self._settings = settings
         self._failure_domain = failure_domain
         self._targets = targets
@@ -96,7 +101,10 @@
         fresh = [entry for entry in serving if entry.instance_id not in tried_ids]
         if not fresh:
             return self._refusal(Reason.NO_TARGET, request, "No target can take it.")
-        trusted = self._trusted(fresh)
+        admitted = [one for one in fresh if self._limits.admits(one.instance_id)]
+        if not admitted:
+            return self._refusal_for_limits(request, fresh)
+        trusted = self._trusted(admitted)
         tried_groups = {self.group_of(one) for one in tried_ids} - {None}
         # What has just failed in one rank of a group fails in all of them.
         apart = [
@@ -109,7 +117,7 @@
             # If all of them fail, one of them is still a better try than none: it may
             # be back, and one that declines does so within milliseconds.  A second
             # try is worth nothing then, and took 148 of 110 repeats that were allowed.
-            candidates = fresh
+            candidates = admitted
         if not candidates:
             message = f"All {len(serving)} targets fail or decline requests."
             return self._refusal(Reason.NO_TARGET, request, message)
@@ -268,6 +276,20 @@
         """Return the requests of a target for each of its slots."""
         return self._loads.total(entry.instance_id) / max(1, entry.slot_count)
 
+    def _refusal_for_limits(self, request, limited):
+        """Return the refusal of a request that no target's limit leaves room for."""
+        longest_s = request.deadline.left_s() * self._settings.return_limit_share
+        described = self._limits.describe(limited[0].instance_id)
+        return End(
+            Outcome.REFUSED_NOT_RUN,
+            Reason.OVERLOADED,
+            message=f"All {len(limited)} targets that could take it are limited: "
+            f"{described}.",
+            retry_after_s=self._limits.come_back_after_s(
+                request.service_name, longest_s
+            ),
+        )
+
     def _refusal(self, reason, request, message):
         return End(
             Outcome.REFUSED_NOT_RUN,
--- a/siskinthread/gateway/tests/test_target_choice.py
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -15,6 +15,7 @@
 from siskinthread.gateway.tests.parts import clock, entry, SETTINGS
 from siskinthread.gateway.tests.test_table import build_route
 from siskinthread.outcomes import End, Outcome, Reason
+from siskinthread.target_limits import TargetLimits
 from siskinthread.timing import Deadline
 
 
@@ -69,6 +70,7 @@
         self.progress = GroupProgress(SETTINGS, self.clock)
         self.accounts = AccountShares(SETTINGS, self.clock)
         self.slow_targets = SlowTargets(SETTINGS, self.clock)
+        self.limits = TargetLimits(SETTINGS.limits, self.clock, random.Random(2))
         self.choice = TargetChoice(
             SETTINGS,
             "a",
@@ -78,6 +80,7 @@
             self.progress,
             self.accounts,
             self.slow_targets,
+            self.limits,
             random.Random(1),
         )
 
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -8,6 +8,7 @@
 from siskinthread.poison_requests import SuspectStatement
 from siskinthread.settings import Address
 from siskinthread.source_eras import Position
+from siskinthread.target_limits import LimitStatement
 
 MILLISECONDS_PER_SECOND = 1000
 # Addresses whose decoded form is kept; above the number of hosts of a large fleet.
@@ -61,13 +62,19 @@
         domain.
     slow_targets : list of str
         Targets that hold others back, as far as it has learnt that itself.
+    limits : list of siskinthread.target_limits.LimitStatement
+        Limits that targets have named.
+    asked_rates : dict of str to float
+        Requests a second that callers ask it for, by service that has a limit.
     """
 
     __slots__ = (
         "account_counts",
+        "asked_rates",
         "counts",
         "is_domain_sum",
         "is_informed",
+        "limits",
         "listing",
         "passes_s",
         "slow_targets",
@@ -86,8 +93,12 @@
         account_counts=None,
         is_domain_sum=False,
         slow_targets=(),
+        limits=(),
+        asked_rates=None,
     ):
         self.slow_targets = list(slow_targets)
+        self.limits = list(limits)
+        self.asked_rates = {} if asked_rates is None else asked_rates
         self.table_version = table_version
         self.is_informed = is_informed
         self.counts = counts
@@ -106,8 +117,10 @@
             What they told.
         """
         counts, account_counts = dict(self.counts), dict(self.account_counts)
+        asked_rates = dict(self.asked_rates)
         add_counts(counts, near.counts)
         add_counts(account_counts, near.account_counts)
+        add_counts(asked_rates, near.asked_rates)
         return HostState(
             self.table_version,
             self.is_informed,
@@ -118,6 +131,8 @@
             account_counts,
             is_domain_sum=True,
             slow_targets=sorted({*self.slow_targets, *near.slow_targets}),
+            limits=self.limits,
+            asked_rates=asked_rates,
         )
 
     def looks_like(self, other):
@@ -130,6 +145,8 @@
             and self.stalled_groups == other.stalled_groups
             and self.slow_targets == other.slow_targets
             and self.passes_s == other.passes_s
+            and self.asked_rates == other.asked_rates
+            and len(self.limits) == len(other.limits)
         )
 
 
@@ -180,16 +197,20 @@
         ----------
         limit_bytes : float
             Its largest size; suspected requests that don't fit are left out, the last
-            ones first.  One that is cut off by its size would bring no news at all.
+            ones first, and then limits of targets.  One that is cut off by its size
+            would bring no news at all.
         """
-        suspects = self.suspects
-        data = self._encode_with(suspects)
-        while len(data) > limit_bytes and suspects:
-            suspects = suspects[: len(suspects) // 2]
-            data = self._encode_with(suspects)
+        suspects, limits = self.suspects, self.state.limits
+        data = self._encode_with(suspects, limits)
+        while len(data) > limit_bytes and (suspects or limits):
+            if suspects:
+                suspects = suspects[: len(suspects) // 2]
+            else:
+                limits = limits[: len(limits) // 2]
+            data = self._encode_with(suspects, limits)
         return data
 
-    def _encode_with(self, suspects):
+    def _encode_with(self, suspects, limits):
         state = self.state
         document = {
             "sender": str(self.sender),
@@ -209,6 +230,10 @@
                 group: round(pass_s * MILLISECONDS_PER_SECOND)
                 for group, pass_s in state.passes_s.items()
             }
+        if limits:
+            document["limits"] = [_encode_limit(one) for one in limits]
+        if state.asked_rates:
+            document["asked"] = state.asked_rates
         if state.is_domain_sum:
             document["sum"] = True
         if state.account_counts:
@@ -241,6 +266,8 @@
                 {str(one): int(n) for one, n in document.get("accounts", {}).items()},
                 bool(document.get("sum", False)),
                 [str(target) for target in document.get("slow", ())],
+                [_decode_limit(row) for row in document.get("limits", ())],
+                _decode_rates(document.get("asked", {})),
             )
             return cls(
                 _parse_address(document["sender"]),
@@ -281,6 +308,32 @@
     ]
 
 
+def _encode_limit(limit):
+    age_ms = round(limit.age_s * MILLISECONDS_PER_SECOND)
+    return [limit.instance_id, limit.service_name, limit.rate_per_s, age_ms]
+
+
+def _decode_limit(row):
+    instance_id, service_name, rate_per_s, age_ms = row
+    return LimitStatement(
+        str(instance_id),
+        str(service_name),
+        None if rate_per_s is None else _decode_rate(rate_per_s),
+        max(0, int(age_ms)) / MILLISECONDS_PER_SECOND,
+    )
+
+
+def _decode_rates(rates):
+    return {str(name): _decode_rate(rate) for name, rate in rates.items()}
+
+
+def _decode_rate(value):
+    rate_per_s = float(value)
+    if not math.isfinite(rate_per_s) or rate_per_s < 0:
+        raise ValueError(f"{value} is no rate")
+    return rate_per_s
+
+
 def _encode_listing(listing):
     age_ms = round(listing.age_s * MILLISECONDS_PER_SECOND)
     return [listing.position.offset, listing.digest, age_ms]
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -1,5 +1,7 @@
 """Sending and taking news."""
 
+import hashlib
+
 import curio
 from curio import socket
 
@@ -25,6 +27,10 @@
         self.known = known
 
 
+def _order_of(name, address):
+    return hashlib.blake2b(f"{name} {address}".encode(), digest_size=8).digest()
+
+
 class PeerNews:
     """Exchanges news with all entry hosts.
 
@@ -52,6 +58,8 @@
     poison : siskinthread.poison_requests.PoisonRegister or None
         What is known of requests under which targets have ended; peers are told of
         each change at once, and of what still counts once a second.
+    limits : siskinthread.target_limits.TargetLimits or None
+        Takes what peers tell of the limits of targets.
     link_mbps : float
         Rate of this host's link, which peers are told; 0 if it is not known.
 
@@ -82,6 +90,7 @@
         "_suspects_told",
         "_told_s",
         "describe",
+        "limits",
         "link_mbps",
         "poison",
         "take_listing",
@@ -110,6 +119,7 @@
         self.link_mbps = 0.0
         self.take_listing = None
         self.poison = None
+        self.limits = None
         # What the news that go out now tell of suspected requests, and what was told.
         self._suspects_due = []
         self._suspects_told = []
@@ -170,6 +180,21 @@
         """Return the targets that hold others back, as peers tell."""
         return self._summary().slow_targets
 
+    def asked_per_s(self, service_name):
+        """Return the requests a second that callers ask peers for, as last heard.
+
+        Peers tell of services of which some target has a limit.
+        """
+        return self._summary().asked_rates.get(service_name, 0.0)
+
+    def turn_of(self, name):
+        """Return how many of the known hosts go before this one in a matter.
+
+        Every host finds the same order for a name, as far as they know one another.
+        """
+        own = _order_of(name, self._address)
+        return sum(_order_of(name, address) < own for address in self._peers)
+
     def newest_pass(self, group):
         """Return the newest time of a pass of a group that a peer tells, or None.
 
@@ -303,6 +328,8 @@
                 self._take(news)
                 await self._hand_on(news, data, source)
                 await self._pass_on(news.state.listing)
+                if self.limits is not None:
+                    self.limits.hear(news.state.limits, str(news.sender))
                 if self.poison is not None:
                     await self.poison.hear(news.suspects, str(news.sender))
             except ProtocolError as error:
--- a/siskinthread/peer_news/_summary.py
+++ b/siskinthread/peer_news/_summary.py
@@ -20,13 +20,22 @@
         Groups that stand still.
     slow_targets : set of str
         Targets that hold others back.
+    asked_rates : dict of str to float
+        Requests a second that callers ask for, by service.
     """
 
-    __slots__ = ("account_counts", "counts", "slow_targets", "stalled_groups")
+    __slots__ = (
+        "account_counts",
+        "asked_rates",
+        "counts",
+        "slow_targets",
+        "stalled_groups",
+    )
 
     def __init__(self):
         self.counts = {}
         self.account_counts = {}
+        self.asked_rates = {}
         self.stalled_groups = set()
         self.slow_targets = set()
 
@@ -34,6 +43,7 @@
         """Add the `HostState` of a host."""
         add_counts(self.counts, state.counts)
         add_counts(self.account_counts, state.account_counts)
+        add_counts(self.asked_rates, state.asked_rates)
         self.stalled_groups.update(state.stalled_groups)
         self.slow_targets.update(state.slow_targets)
 
@@ -57,6 +67,8 @@
         Requests of peers by target.
     account_counts : dict of str to int
         Requests of peers by client account.
+    asked_rates : dict of str to float
+        Requests a second that callers ask peers for, by service that has a limit.
     near : NearSums
         The same of peers of the own failure domain.
     domain_sums : dict of str to object
@@ -77,6 +89,7 @@
 
     __slots__ = (
         "account_counts",
+        "asked_rates",
         "counts",
         "domain_sums",
         "fresh_news",
@@ -90,6 +103,7 @@
     def __init__(self, peers, failure_domain):
         self.counts = {}
         self.account_counts = {}
+        self.asked_rates = {}
         self.near = NearSums()
         self.fresh_news = []
         self.near_news = []
@@ -137,5 +151,6 @@
         elif self.domain_sums.get(peer.news.failure_domain, peer) is not peer:
             # Its requests are part of its domain's sum.
             return
+        add_counts(self.asked_rates, state.asked_rates)
         add_counts(self.counts, state.counts)
         add_counts(self.account_counts, state.account_counts)
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -23,6 +23,7 @@
 )
 from siskinthread.settings import Address
 from siskinthread.source_eras import Position
+from siskinthread.target_limits import LimitStatement
 from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
 SETTINGS = PeerNewsSettings(
@@ -375,3 +376,89 @@
             await task.cancel()
 
     curio.run(main)
+
+
+def limits(count):
+    """Return what a host tells of as many limited targets."""
+    return [
+        LimitStatement(f"i-{number}", "app", None if number == 1 else 2.5, 0.25)
+        for number in range(count)
+    ]
+
+
+def limit_rows(state):
+    """Return the limits of a `HostState` as rows."""
+    return [
+        (one.instance_id, one.service_name, one.rate_per_s, one.age_s)
+        for one in state.limits
+    ]
+
+
+def test_limits_of_targets_survive_the_way():
+    """A datagram holds the limits, and what callers ask the sender for."""
+    state = HostState(1, True, {}, limits=limits(2), asked_rates={"app": 12.5})
+    told = News.decode(News(Address("10.0.0.1", 1), "a", state, []).encode())
+    assert limit_rows(told.state) == limit_rows(state)
+    assert told.state.asked_rates == {"app": 12.5}
+
+
+def test_news_that_would_not_fit_leave_limits_out():
+    """Symptom: a host is silent for all others once many targets name a limit."""
+    counts = {f"i-{number:010}": 1 for number in range(420)}
+    state = HostState(1, True, counts, limits=limits(48))
+    data = News(Address("10.0.0.1", 1), "a", state, []).encode(8192)
+    assert len(data) <= 8192
+    assert 0 < len(News.decode(data).state.limits) < 48
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"limits": 5},
+        {"limits": [["i-1", "app", 1.0]]},
+        {"limits": [["i-1", "app", -1, 5]]},
+        {"limits": [["i-1", "app", "nan", 5]]},
+        {"limits": [["i-1", "app", 1.0, 1e999]]},
+        {"asked": []},
+        {"asked": {"app": "inf"}},
+        {"asked": {"app": None}},
+    ],
+)
+def test_unreadable_limits_are_an_error_of_the_protocol(fields):
+    """Symptom: the task that reads news ends by a datagram."""
+    news = News(Address("10.0.0.1", 1), "a", HostState(1, True, {}), [])
+    document = json.loads(news.encode()) | fields
+    with pytest.raises(ProtocolError):
+        News.decode(json.dumps(document).encode())
+
+
+def test_rates_of_other_domains_come_as_sums():
+    """What callers ask for counts once, whether told by hosts or for their domain."""
+    clock = ManualClock()
+    news = build(Address("10.0.0.1", 1), [], HostState(1, True, {}), clock=clock)
+    near = HostState(1, True, {}, asked_rates={"app": 2.0})
+    news._take(News(Address("10.0.0.2", 1), "a", near, []))
+    far = HostState(1, True, {}, asked_rates={"app": 7.0}, is_domain_sum=True)
+    news._take(News(Address("10.0.1.1", 1), "b", far, []))
+    part = HostState(1, True, {}, asked_rates={"app": 3.0})
+    news._take(News(Address("10.0.1.2", 1), "b", part, []))
+    assert news.asked_per_s("app") == 9.0
+    assert news.asked_per_s("other") == 0.0
+    own = HostState(1, True, {}, asked_rates={"app": 1.0})
+    told = own.with_domain_sums(news._summary().near)
+    assert told.asked_rates == {"app": 3.0}
+    clock.advance(SETTINGS.fresh_limit_s + 0.01)
+    assert news.asked_per_s("app") == 0.0
+
+
+def test_hosts_agree_on_whose_turn_it_is():
+    """Each host has its own turn for a target, and not the same for all targets."""
+    addresses = [Address(f"10.0.0.{number}", 1) for number in range(1, 6)]
+    hosts = [build(one, [], HostState(1, True, {})) for one in addresses]
+    for host in hosts:
+        for other in addresses:
+            if other != host._address:
+                host._add(other)
+    orders = [tuple(one.turn_of(f"i-{n}") for one in hosts) for n in range(8)]
+    assert all(sorted(order) == [0, 1, 2, 3, 4] for order in orders)
+    assert len(set(orders)) > 1
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -139,6 +139,14 @@
         """Tell of no requests."""
         return {}
 
+    def asked_per_s(self, service_name):
+        """Tell of no requests."""
+        return 0.0
+
+    def turn_of(self, name):
+        """Put no host before this one."""
+        return 0
+
     def newest_version(self):
         """Return the version that a peer is said to have."""
         return self.version
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -323,3 +323,47 @@
     places = curio.run(main)
     place = places["i-1"]
     assert (place.group_name, place.rank, place.size) == ("g", 3, 8)
+
+
+@pytest.mark.parametrize(
+    ("texts", "rate_per_s"),
+    [
+        ([], None),
+        (["0"], 0.0),
+        (["1"], 1.0),
+        ([" 12.75 "], 12.75),
+        (["0.5"], 0.5),
+        ([".5"], 0.5),
+        (["999999999999"], 999_999_999_999.0),
+    ],
+)
+def test_limit_that_a_server_names_is_read(texts, rate_per_s):
+    """Decimal numbers of requests a second, of any size."""
+    headers = [("server-limit", text) for text in texts]
+    stated = PlatformWire().read_answer(Head(503, headers)).stated_limit
+    assert (stated.rate_per_s, stated.unreadable) == (rate_per_s, None)
+
+
+@pytest.mark.parametrize(
+    "texts",
+    [
+        [""],
+        ["-1"],
+        ["inf"],
+        ["nan"],
+        ["1e3"],
+        ["9" * 400],
+        ["4, 5"],
+        ["4", "5"],
+        ["4", "4"],
+        ["1_000"],
+        ["four"],
+        ["\u0664"],
+    ],
+)
+def test_limit_that_is_no_rate_is_unreadable(texts):
+    """Symptom: a server is sent nothing, or the process ends, by a spoilt header."""
+    headers = [("server-limit", text) for text in texts]
+    stated = PlatformWire().read_answer(Head(200, headers)).stated_limit
+    assert stated.rate_per_s is None
+    assert stated.unreadable is not None
--- /dev/null
+++ b/siskinthread/target_limits/__init__.py
@@ -0,0 +1,15 @@
+"""Limits that targets in need name: requests a second from all entries together.
+
+Interface: ``TargetLimits(settings, clock, random)``; ``note_answer(entry, sent_at_s,
+stated)`` takes what an answer states, ``note_asked(service_name)`` each request of a
+caller, ``admits(instance_id)`` tells whether a target may get a request now and
+``note_sent(instance_id)`` that it gets one.  Entries tell one another its
+``statements()`` and ``asked_rates()``; ``hear(statements, told_by)`` takes the former,
+``peers`` tells the latter.
+"""
+
+from siskinthread.target_limits._register import TargetLimits
+from siskinthread.target_limits._settings import TargetLimitSettings
+from siskinthread.target_limits._statement import LimitStatement, StatedLimit
+
+__all__ = ["LimitStatement", "StatedLimit", "TargetLimitSettings", "TargetLimits"]
--- /dev/null
+++ b/siskinthread/target_limits/_settings.py
@@ -0,0 +1,109 @@
+"""Settings of the limits that targets name."""
+
+from siskinthread.settings import Item, Section
+
+
+class TargetLimitSettings(Section):
+    """How much of a limit is used, and how what is known of it ages."""
+
+    window_s = Item(
+        float,
+        default=4.0,
+        minimum=0.1,
+        description="Window in which a target must not get more than its limit and "
+        "the excess below allow.",
+    )
+    excess_ratio = Item(
+        float,
+        default=1.5,
+        minimum=1.0,
+        description="How many times its limit a target may get within a window.",
+    )
+    excess_count = Item(
+        int,
+        default=5,
+        minimum=0,
+        description="Requests that a target may get within a window beside that.",
+    )
+    deviation_count = Item(
+        float,
+        default=4.5,
+        minimum=0.0,
+        description="Standard deviations between the mean number of requests that a "
+        "target gets within a window and the most that it may get. Entries that send "
+        "it a request each now and then do so by chance.",
+    )
+    used_share = Item(
+        float,
+        default=0.9,
+        minimum=0.1,
+        description="Largest part of a limit that is used. The rest is for requests "
+        "that entries have not told one another of yet.",
+    )
+    asked_memory_s = Item(
+        float,
+        default=1.5,
+        minimum=0.1,
+        description="Time over which the rate of callers' requests is averaged.",
+    )
+    many_asked_count = Item(
+        float,
+        default=4.0,
+        minimum=0.0,
+        description="Callers' requests within that time from which on an entry goes by "
+        "its part of a limit; with fewer, chance decides on each request.",
+    )
+    saved_s = Item(
+        float,
+        default=0.5,
+        minimum=0.0,
+        description="Time for which an entry saves what it has not used of its part.",
+    )
+    saved_count = Item(
+        float,
+        default=2.0,
+        minimum=0.0,
+        description="Requests of a limit that all entries together save beside that, "
+        "each its part of them.",
+    )
+    test_wait_s = Item(
+        float,
+        default=2.0,
+        minimum=0.1,
+        description="Time without word of a limited target after which one entry sends "
+        "it a request, to learn whether the limit is over; the next entry does after "
+        "twice that, and so on.",
+    )
+    ended_told_s = Item(
+        float,
+        default=3.0,
+        minimum=0.0,
+        description="How long entries tell one another that a limit has ended.",
+    )
+    doubling_s = Item(
+        float,
+        default=0.5,
+        minimum=0.01,
+        description="Time in which the rate doubles that a target gets after the end "
+        "of its limit, until `doubling_count` doublings.",
+    )
+    doubling_count = Item(
+        int,
+        default=6,
+        minimum=0,
+        description="Doublings after which a target whose limit has ended is like any "
+        "other one; 3 s with the default time.",
+    )
+    targets_limit = Item(
+        int,
+        default=1024,
+        minimum=1,
+        description="Targets whose limits are remembered.",
+    )
+    told_limit = Item(
+        int,
+        default=48,
+        minimum=1,
+        description="Limits that a datagram tells of, the newest first; 2 KB of its "
+        "8 KB.",
+    )
--- /dev/null
+++ b/siskinthread/target_limits/_statement.py
@@ -0,0 +1,44 @@
+"""What targets and entries state of limits."""
+
+
+class StatedLimit:
+    """What an answer of a target states.
+
+    Parameters
+    ----------
+    rate_per_s : float or None
+        Requests a second that the target takes from all entries; None if the answer
+        names no limit.
+    unreadable : str or None
+        What stood in the place of a rate, if that is none.
+    """
+
+    __slots__ = ("rate_per_s", "unreadable")
+
+    def __init__(self, rate_per_s=None, unreadable=None):
+        self.rate_per_s = rate_per_s
+        self.unreadable = unreadable
+
+
+class LimitStatement:
+    """What an entry tells others of the limit of a target.
+
+    Parameters
+    ----------
+    instance_id : str
+        The target.
+    service_name : str
+        Its service.
+    rate_per_s : float or None
+        The limit; None if it has ended.
+    age_s : float
+        Time since an answer of the target stated that, seconds.
+    """
+
+    __slots__ = ("age_s", "instance_id", "rate_per_s", "service_name")
+
+    def __init__(self, instance_id, service_name, rate_per_s, age_s):
+        self.instance_id = instance_id
+        self.service_name = service_name
+        self.rate_per_s = rate_per_s
+        self.age_s = age_s
--- /dev/null
+++ b/siskinthread/target_limits/tests/model.py
@@ -0,0 +1,235 @@
+"""A model of entries that share the limit of one target, under a simulated clock.
+
+``python -m siskinthread.target_limits.tests.model --seeds 1000`` prints for each number
+of entries and each way of sharing how often the limit was broken and how much of it was
+used.
+"""
+
+import argparse
+import heapq
+import random
+
+from siskinthread.gateway.tests.parts import entry
+from siskinthread.target_limits import StatedLimit, TargetLimits, TargetLimitSettings
+from siskinthread.timing import ManualClock
+
+SETTINGS = TargetLimitSettings()
+TARGET = entry("i-1")
+DOMAIN_COUNT = 5
+# From one word of a domain to the next; a word is lost, or late, with this chance.
+NEWS_INTERVAL_S = 1.0
+LOST_SHARE = 0.1
+LATE_SHARE = 0.1
+ANSWER_S = 0.02
+SETTLED_S = 3.0
+RUN_S = 23.0
+
+
+class ModelPeers:
+    """What one entry has heard of the others."""
+
+    def __init__(self, turn):
+        self.asked = {}
+        self._turn = turn
+
+    def asked_per_s(self, service_name):
+        """Return what callers ask the others for."""
+        return sum(self.asked.values())
+
+    def turn_of(self, name):
+        """Return how many entries go before this one."""
+        return self._turn
+
+
+class ByDemand:
+    """An entry that goes by what callers ask all entries for."""
+
+    def __init__(self, clock, seed, turn, count):
+        self.peers = ModelPeers(turn)
+        self.limits = TargetLimits(SETTINGS, clock, random.Random(seed))
+        self.limits.peers = self.peers
+
+    def takes(self):
+        """Return whether one more request of a caller is sent to the target."""
+        self.limits.note_asked(TARGET.service_name)
+        if not self.limits.admits(TARGET.instance_id):
+            return False
+        self.limits.note_sent(TARGET.instance_id)
+        return True
+
+
+class EqualParts:
+    """An entry that takes one part of as many as there are entries."""
+
+    def __init__(self, clock, seed, turn, count):
+        self.peers = ModelPeers(turn)
+        self.limits = TargetLimits(SETTINGS, clock, random.Random(seed))
+        self.limits.peers = self.peers
+        self._clock = clock
+        self._count = count
+        self._credit_count = 0.0
+        self._earned_at_s = clock.monotonic_s()
+
+    def takes(self):
+        """Return whether one more request of a caller is sent to the target."""
+        self.limits.note_asked(TARGET.service_name)
+        known = self.limits.statements()
+        if not known:
+            return True
+        now_s = self._clock.monotonic_s()
+        part_per_s = SETTINGS.used_share * known[0].rate_per_s / self._count
+        earned = (now_s - self._earned_at_s) * part_per_s
+        self._credit_count = min(1.0, self._credit_count + earned)
+        self._earned_at_s = now_s
+        if self._credit_count < 1:
+            return False
+        self._credit_count -= 1
+        return True
+
+
+class Run:
+    """One run of the model.
+
+    Parameters
+    ----------
+    way : type
+        `ByDemand` or `EqualParts`.
+    entry_count : int
+        Entries.
+    limit_per_s, asked_per_s : float
+        The target's limit, and what callers ask all entries for.
+    seed : int
+        Of everything that is drawn.
+    is_even : bool
+        Whether callers come to all entries alike, or to the first one only.
+    """
+
+    def __init__(self, way, entry_count, limit_per_s, asked_per_s, seed, is_even=True):
+        self._random = random.Random(seed)
+        self._clock = ManualClock()
+        self._began_at_s = self._clock.monotonic_s()
+        self._limit_per_s = limit_per_s
+        self._asked_per_s = asked_per_s
+        self._is_even = is_even
+        self.entries = [
+            way(self._clock, seed * 1000 + number, number, entry_count)
+            for number in range(entry_count)
+        ]
+        self.sent_s = []
+
+    def play(self):
+        """Play the run; return the most requests of a window, and the mean rate."""
+        # Times, an order for equal ones, and what happens then.
+        events = [(0.0, 0, "news", None), (0.0, 1, "request", None)]
+        order = 2
+        while events:
+            at_s, _, kind, value = heapq.heappop(events)
+            if at_s > RUN_S:
+                break
+            self._advance_to(at_s)
+            for event in getattr(self, f"_on_{kind}")(at_s, value):
+                order += 1
+                heapq.heappush(events, (event[0], order, *event[1:]))
+        settled = [at_s for at_s in self.sent_s if at_s >= SETTLED_S]
+        return most_within(settled, SETTINGS.window_s), len(settled) / (
+            RUN_S - SETTLED_S
+        )
+
+    def _advance_to(self, at_s):
+        self._clock.advance(self._began_at_s + at_s - self._clock.monotonic_s())
+
+    def _on_request(self, at_s, value):
+        number = self._random.randrange(len(self.entries)) if self._is_even else 0
+        sender = self.entries[number]
+        if sender.takes():
+            self.sent_s.append(at_s)
+            sent_at_s = self._clock.monotonic_s()
+            yield at_s + ANSWER_S, "answer", (sender, sent_at_s)
+        yield at_s + self._random.expovariate(self._asked_per_s), "request", None
+
+    def _on_answer(self, at_s, value):
+        sender, sent_at_s = value
+        stated = StatedLimit(self._limit_per_s)
+        sender.limits.note_answer(TARGET, sent_at_s, stated)
+        return ()
+
+    def _on_news(self, at_s, value):
+        """Tell every entry what each domain is asked for, and the newest word."""
+        domains = [self.entries[n::DOMAIN_COUNT] for n in range(DOMAIN_COUNT)]
+        domains = [domain for domain in domains if domain]
+        for number, domain in enumerate(domains):
+            told = [sender.limits.asked_rates() for sender in domain]
+            rates = [one.get(TARGET.service_name, 0.0) for one in told]
+            words = [word for one in domain for word in one.limits.statements()]
+            newest = min(words, key=lambda word: word.age_s, default=None)
+            late_s = 0.0
+            if self._random.random() < LATE_SHARE:
+                late_s = self._random.random() * NEWS_INTERVAL_S
+            yield at_s + late_s, "word", (number, domain, rates, newest)
+        yield at_s + NEWS_INTERVAL_S, "news", None
+
+    def _on_word(self, at_s, value):
+        number, domain, rates, newest = value
+        total_per_s = sum(rates)
+        own = dict(zip(map(id, domain), rates, strict=True))
+        for hearer in self.entries:
+            if self._random.random() < LOST_SHARE:
+                continue
+            own_per_s = own.get(id(hearer), 0.0)
+            hearer.peers.asked[number] = total_per_s - own_per_s
+            if newest is not None:
+                hearer.limits.hear([newest], "peer")
+        return ()
+
+
+def most_within(times_s, window_s):
+    """Return the most times in any window."""
+    most = first = 0
+    for last, at_s in enumerate(times_s):
+        while times_s[first] <= at_s - window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def allowed_count(limit_per_s):
+    """Return the most requests that a window may have."""
+    return SETTINGS.excess_ratio * limit_per_s * SETTINGS.window_s + (
+        SETTINGS.excess_count
+    )
+
+
+def main():
+    """Print how each way does."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=100, help="runs of each kind")
+    options = parser.parse_args()
+    for entry_count in (2, 38, 300):
+        for limit_per_s in (2.0, 20.0):
+            for is_even in (True, False):
+                for way in (ByDemand, EqualParts):
+                    played = [
+                        Run(
+                            way,
+                            entry_count,
+                            limit_per_s,
+                            2 * limit_per_s,
+                            seed,
+                            is_even,
+                        ).play()
+                        for seed in range(options.seeds)
+                    ]
+                    most = [one for one, _ in played]
+                    used = sum(rate for _, rate in played) / len(played) / limit_per_s
+                    allowed = allowed_count(limit_per_s)
+                    print(
+                        f"{entry_count:4} entries, {limit_per_s:4.0f} a second, "
+                        f"{'even' if is_even else 'one '}, {way.__name__:10}: "
+                        f"{sum(one > allowed for one in most)} of {len(most)} broken, "
+                        f"most {max(most)} of {allowed:.0f}, used {used:.2f}",
+                        flush=True,
+                    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/siskinthread/target_limits/tests/test_sharing.py
@@ -0,0 +1,27 @@
+"""Entries that share the limit of one target, in a model with lost and late news."""
+
+import pytest
+
+from siskinthread.target_limits.tests.model import allowed_count, ByDemand, Run
+
+SEEDS = range(20)
+
+
+@pytest.mark.parametrize("is_even", [True, False], ids=["even", "one entry"])
+@pytest.mark.parametrize("limit_per_s", [2.0, 20.0])
+@pytest.mark.parametrize("entry_count", [2, 38, 300])
+def test_entries_keep_a_limit_together_and_use_it(entry_count, limit_per_s, is_even):
+    """A limit of 2 a second is far below one request for each of 300 entries.
+
+    Callers ask for twice what is allowed, at all entries alike or at one.  With equal
+    parts, callers that come to one of 38 entries get 0.03 of a limit of 2.
+    """
+    rates = []
+    for seed in SEEDS:
+        run = Run(ByDemand, entry_count, limit_per_s, 2 * limit_per_s, seed, is_even)
+        most, rate_per_s = run.play()
+        assert most <= allowed_count(limit_per_s), seed
+        rates.append(rate_per_s)
+    # By chance entries use a small limit less, see `deviation_count`.
+    least_share = 0.8 if limit_per_s >= 20 else 0.6
+    assert sum(rates) / len(rates) >= least_share * limit_per_s
--- a/siskinthread/tracing/_trace.py
+++ b/siskinthread/tracing/_trace.py
@@ -101,10 +101,21 @@
         for event in events
         if event.get("event") != REQUEST_ENDED
         and event["at"] <= ended_at
-        and _is_connected(event, names, fingerprint, begun_at)
+        and (
+            _is_connected(event, names, fingerprint, begun_at)
+            or _limits_service(event, request.get("service"))
+        )
     ]
 
 
+def _limits_service(event, service):
+    """Return whether a line tells of a limit of the request's service.
+
+    A limit that was named long before may have refused a request that has no target.
+    """
+    return service is not None and event.get("limited_service") == service
+
+
 def _is_connected(event, names, fingerprint, begun_at):
     """Return whether a line tells of a request, its targets or the process itself."""
     if "fingerprint" in event:
--- a/siskinthread/tracing/tests/test_trace.py
+++ b/siskinthread/tracing/tests/test_trace.py
@@ -112,3 +112,16 @@
     ]
     trace = find_request([json.dumps(line) for line in lines], "id-1")
     assert [line["at"] for line in trace.around] == [20.0]
+
+
+def test_limits_of_the_service_are_found_however_long_ago():
+    """Symptom: a request is refused for limits that no line near it names."""
+    lines = [
+        event(
+            20.0, "target_limits: target names a limit", target="i-7", limited_service=s
+        )
+        for s in ("app", "other")
+    ]
+    lines.append(request(100.0, "id-1", service="app", attempts=[]))
+    trace = find_request([json.dumps(line) for line in lines], "id-1")
+    assert [line["limited_service"] for line in trace.around] == ["app"]
