Let a target return after its limit though its answers go on to name none

Cause: each answer without a limit was taken for its end, from which the rate of the returning target doubles by steps; so it never got beyond the first. Ruled out: servers that were down or not listed (one was, the log has it; the other three were listed and trusted). Change: only the first word of the end counts.

--- a/siskinthread/target_limits/_limit.py
+++ b/siskinthread/target_limits/_limit.py
@@ -55,7 +55,11 @@
 
     def state(self, rate_per_s, stated_at_s):
         """Take a newer statement."""
-        if rate_per_s is None and self.rate_per_s is not None:
+        if rate_per_s is None:
+            if self.rate_per_s is None:
+                # The target's return goes by when the limit ended, which each further
+                # answer without one would else put off.
+                return
             self.ended_rate_per_s = self.rate_per_s
         self.rate_per_s = rate_per_s
         self.stated_at_s = stated_at_s
--- a/siskinthread/target_limits/tests/test_register.py
+++ b/siskinthread/target_limits/tests/test_register.py
@@ -145,6 +145,22 @@
     assert limited.sent_count(100, for_s=1.0) == 100
 
 
+def test_answers_after_the_end_of_a_limit_do_not_begin_the_return_anew():
+    """Three of four servers got 1 to 3 requests a second for good after their limits.
+
+    Each answer without a limit was taken for its end, from which the rate of a target
+    doubles step by step; so it never got beyond the first step, and at 43 s callers
+    were refused for limits that were over at 36 s.
+    """
+    limited = Limited(3)
+    limited.sent_count(50, for_s=1.0)
+    for _ in range(5):
+        limited.answer(None)
+        limited.limits.hear([LimitStatement("i-1", "app", None, age_s=0.0)], "peer")
+        limited.sent_count(50, for_s=1.0)
+    assert limited.sent_count(50, for_s=1.0) == 50
+
+
 @pytest.mark.parametrize("turn", [0, 2])
 def test_target_that_takes_nothing_is_tested_by_one_entry_at_a_time(turn):
     """Symptom: a server that named 0 never gets a request again, or one of each entry.
