Stay five deviations below what a limit allows where chance decides

Cause: of 1,000 runs of the model with 300 entries and a limit of 2 a second, one had 18 requests within 4 s where 17 are allowed (seed 404), with the mean 4.5 standard deviations below the most. Change: 5 deviations; the seed is kept in the test of the model.

--- a/siskinthread/target_limits/_settings.py
+++ b/siskinthread/target_limits/_settings.py
@@ -27,7 +27,7 @@
     )
     deviation_count = Item(
         float,
-        default=4.5,
+        default=5.0,
         minimum=0.0,
         description="Standard deviations between the mean number of requests that a "
         "target gets within a window and the most that it may get. Entries that send "
--- a/siskinthread/target_limits/tests/test_sharing.py
+++ b/siskinthread/target_limits/tests/test_sharing.py
@@ -4,7 +4,9 @@
 
 from siskinthread.target_limits.tests.model import allowed_count, ByDemand, Run
 
-SEEDS = range(20)
+# With a mean of 4.5 instead of 5 deviations below the most, 300 entries sent 18
+# requests in 4 s where 17 were allowed, in one of 1,000 runs: that of the last seed.
+SEEDS = [*range(20), 404]
 
 
 @pytest.mark.parametrize("is_even", [True, False], ids=["even", "one entry"])
