Let servers of the soak name limits, and judge arrivals after the answer

Two promises more: a server gets no more than it names (the rule's own words, gateways that were disturbed don't count), and no request reaches a server 0.5 s after its caller had the final answer, unless the server's process stood still or the gateway was disturbed. Test of servers whose limits are over.

--- a/scripts/soak/_faults.py
+++ b/scripts/soak/_faults.py
@@ -8,7 +8,8 @@
 import curio
 
 from scripts._processes import StartError
-from scripts.soak._plan import FAULT_KINDS, GATEWAY, SERVER, STORE
+from scripts.soak._plan import FAULT_KINDS, GATEWAY, LIMITED, SERVER, STORE
+from scripts.soak._records import NamedLimit
 from scripts.soak._system import GRACE_S, LAPSE_S, link, SERVE_ON_S, TARGETS_TOPIC
 
 POLL_S = 0.02
@@ -21,6 +22,9 @@
 # Part of the fault for which the store goes on after the copy was made.
 COPY_AGE_SHARE = 0.8
 SPOILT_SHARE = 0.08
+LIMITS_PER_S = ("0", "1", "3", "6.5")
+# What is done to a process itself, and not to its links.
+PROCESS_KINDS = ("freeze server", "kill server")
 SPOILT_WAYS = ("lose", "cut", "twice", "another", "nonsense", "hang", "fail")
 
 
@@ -69,18 +73,23 @@
         name = (part, subject.name if subject is not None else part)
         # A planned stop must cut nothing off; it counts by itself.
         kind = "stop" if fault.kind == "stop gateway" else name[0]
-        span = self._records.disruptions.begin((kind, name[1]), time.monotonic())
+        disturbed = [(kind, name[1])]
+        if fault.kind in PROCESS_KINDS:
+            disturbed.append(("process", name[1]))
+        begin = self._records.disruptions.begin
+        spans = [begin(one, time.monotonic()) for one in disturbed]
         try:
             await carry_out(self, subject, fault)
         except StartError as error:
             self._records.troubles.append(f"{fault}: {error}")
         finally:
-            self._records.disruptions.end(span, time.monotonic())
+            for span in spans:
+                self._records.disruptions.end(span, time.monotonic())
 
     def _subject(self, part, number):
         if part == GATEWAY:
             return self._system.gateways[number]
-        if part == SERVER:
+        if part in (SERVER, LIMITED):
             return self._system.servers[number]
         return None
 
@@ -183,6 +192,24 @@
         await curio.sleep(fault.for_s)
         await self._spoil(server, {}, fault.seed)
 
+    async def name_limit(self, server, fault):
+        """Let the answers of a server name a limit for a while."""
+        limit = random.Random(fault.seed).choice(LIMITS_PER_S)
+        instance_id = server.instance_id
+        await self._set_limit(server, limit)
+        named_s = time.monotonic()
+        await curio.sleep(fault.for_s)
+        ended_s = time.monotonic()
+        if server.instance_id == instance_id:
+            await self._set_limit(server, None)
+            self._records.limits.append(
+                NamedLimit(instance_id, float(limit), named_s, ended_s)
+            )
+
+    async def _set_limit(self, server, limit):
+        if not server.is_down and server.process.running():
+            await self._system.set_server(server, limit=limit)
+
     async def store_mode(self, subject, fault, mode, lapse=False):
         """Let the store turn everybody away for a while."""
         token = (mode, fault.seed)
@@ -251,6 +278,7 @@
     "kill server": Faults.kill_server,
     "retire server": Faults.retire_server,
     "spoil answers": Faults.spoil_answers,
+    "name a limit": Faults.name_limit,
     "delay server link": Faults.delay,
     "reset server link": Faults.reset,
     "silence server link": Faults.silence,
--- a/scripts/soak/_plan.py
+++ b/scripts/soak/_plan.py
@@ -40,6 +40,12 @@
 RESTORE_SPAN_S = (1.0, 4.0)
 RESTORES_LIMIT = 2
 FAULT_KINDS[RESTORE_KIND] = (STORE, RESTORE_SPAN_S)
+# A server that names a limit is not disturbed by that.
+LIMITED = "limited server"
+LIMIT_KIND = "name a limit"
+# Long enough for a window that counts: 3 s until a limit holds, and 4 s.
+LIMIT_SPAN_S = (8.0, 11.0)
+FAULT_KINDS[LIMIT_KIND] = (LIMITED, LIMIT_SPAN_S)
 # Few faults leave parts alone for long enough that time bounds hold for them; many
 # overlap.
 FAULTS_PER_S = (0.3, 2.5)
@@ -109,6 +115,7 @@
                 fault = Fault(kind, subject, begins_s, for_s, drawn.randrange(2**31))
                 faults.append(fault)
     faults += _draw_restores(seed, trouble_s)
+    faults += _draw_limits(seed, trouble_s, server_count)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -122,3 +129,14 @@
         for_s = min(for_s, trouble_s - at_s)
         restores.append(Fault(RESTORE_KIND, 0, at_s, for_s, drawn.randrange(2**31)))
     return restores
+
+
+def _draw_limits(seed, trouble_s, server_count):
+    """Return the limits that servers name in a seed: none, some, or all of them do."""
+    drawn = random.Random(f"limits {seed}")
+    limits = []
+    for server in drawn.sample(range(server_count), drawn.randint(0, server_count)):
+        for_s = min(drawn.uniform(*LIMIT_SPAN_S), trouble_s)
+        at_s = drawn.uniform(0.0, trouble_s - for_s)
+        limits.append(Fault(LIMIT_KIND, server, at_s, for_s, drawn.randrange(2**31)))
+    return limits
--- a/scripts/soak/_promises.py
+++ b/scripts/soak/_promises.py
@@ -18,6 +18,11 @@
 FINAL_ANSWER_S = 0.5
 LEFT_BEHIND_S = 0.5
 REGRESS_S = 0.25
+ARRIVED_LATE_S = 0.5
+LIMIT_SETTLED_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_COUNT = 5
 MEASURING_S = 0.2
 SERVED_AT_THE_END = 0.9
 ENDED_SERVERS_LIMIT = 3
@@ -46,6 +51,10 @@
         """Return the pairs of instance id and run of a call that did run."""
         return [pair for pair in self._by_id[call.request_id] if pair[1]["ran"]]
 
+    def arrived(self, call):
+        """Return the pairs of instance id and run of a call, also of one not run."""
+        return list(self._by_id[call.request_id])
+
     def sound(self, call):
         """Return those that their server answered whole while it was left alone."""
         return [
@@ -210,6 +219,57 @@
     return broken
 
 
+def arrived_after_the_end(records, runs):
+    """Requests that reached a server long after their caller had the final answer."""
+    broken = []
+    for call in records.calls:
+        limit_s = call.ended_s + ARRIVED_LATE_S + MEASURING_S
+        for instance_id, run in runs.arrived(call):
+            if run["arrived_s"] <= limit_s:
+                continue
+            # A process that stands still has taken it in time, and reads it late.
+            process = ("process", records.server_of[instance_id])
+            span_s = call.started_s, run["arrived_s"]
+            is_read = records.disruptions.is_calm(process, *span_s)
+            if is_read and _is_in_touch(records, call.gateway, *span_s):
+                late_s = run["arrived_s"] - call.ended_s
+                broken.append(f"{instance_id} got {call} {late_s:.2f} s after its end")
+    return broken
+
+
+def limit_exceeded(records, runs):
+    """Servers that got more than the rate that they named allows."""
+    gateways = {call.request_id: call.gateway for call in records.calls}
+    broken = []
+    for limit in records.limits:
+        from_s = limit.named_s + LIMIT_SETTLED_S
+        arrived_s = sorted(
+            run["arrived_s"]
+            for run in records.runs.get(limit.instance_id, ())
+            if from_s <= run["arrived_s"] <= limit.ended_s
+            and _obeys(records, gateways.get(run["request_id"]), run, limit)
+        )
+        allowed = LIMIT_RATIO * limit.rate_per_s * LIMIT_WINDOW_S + LIMIT_COUNT
+        for first_s in arrived_s:
+            count = sum(
+                first_s <= at_s < first_s + LIMIT_WINDOW_S for at_s in arrived_s
+            )
+            if count > allowed:
+                broken.append(
+                    f"{limit.instance_id} got {count} requests in {LIMIT_WINDOW_S} s "
+                    f"from {first_s:.2f}, named {limit.rate_per_s} a second"
+                )
+                break
+    return broken
+
+
+def _obeys(records, gateway, run, limit):
+    """Return whether a gateway must know of a limit and keep to it."""
+    if gateway is None:
+        return False
+    return _is_in_touch(records, gateway, limit.named_s, run["arrived_s"])
+
+
 def not_kept_off(records, runs):
     """Requests under which three servers have ended, and that go on to reach others.
 
@@ -286,6 +346,8 @@
     configuration_late,
     configuration_regressed,
     worked_on_for_nobody,
+    arrived_after_the_end,
+    limit_exceeded,
     not_kept_off,
     refused_for_another,
 )
--- a/scripts/soak/_records.py
+++ b/scripts/soak/_records.py
@@ -202,12 +202,34 @@
         self.arrived_s = arrived_s
 
 
+class NamedLimit:
+    """A limit that the answers of a server named.
+
+    Parameters
+    ----------
+    instance_id : str
+        The server.
+    rate_per_s : float
+        Requests a second that it took from all gateways.
+    named_s, ended_s : float
+        From when to when, monotonic seconds.
+    """
+
+    __slots__ = ("ended_s", "instance_id", "named_s", "rate_per_s")
+
+    def __init__(self, instance_id, rate_per_s, named_s, ended_s):
+        self.instance_id = instance_id
+        self.rate_per_s = rate_per_s
+        self.named_s = named_s
+        self.ended_s = ended_s
+
+
 class Records:
     """Everything that a run has noted.
 
     Attributes
     ----------
-    calls, probes, publications, leavings, server_ends : list
+    calls, probes, publications, leavings, server_ends, limits : list
         See the classes.
     runs : dict of str to list
         What each server start has run, by instance id, as JSON values.
@@ -227,6 +249,7 @@
         "disruptions",
         "faults",
         "leavings",
+        "limits",
         "probes",
         "publications",
         "runs",
@@ -242,6 +265,7 @@
         self.publications = []
         self.leavings = []
         self.server_ends = []
+        self.limits = []
         self.runs = {}
         self.server_of = {}
         self.faults = []
--- a/scripts/soak/tests/test_promises.py
+++ b/scripts/soak/tests/test_promises.py
@@ -1,5 +1,7 @@
 """Each promise of the soak is seen to be broken when it is."""
 
+import copy
+
 import pytest
 
 from scripts._caller_http import RawAnswer
@@ -7,6 +9,7 @@
 from scripts.soak._records import (
     CallRecord,
     Leaving,
+    NamedLimit,
     Probe,
     Publication,
     Records,
@@ -74,9 +77,12 @@
     return [ServerEnd("i-1", one.request_id, one.started_s) for one in calls]
 
 
-def records(calls=(), runs=(), probes=(), publications=(), leavings=(), ends=()):
+def records(
+    calls=(), runs=(), probes=(), publications=(), leavings=(), ends=(), limits=()
+):
     """Return the records of a run with one server."""
     noted = Records()
+    noted.limits += limits
     noted.server_ends += ends
     noted.calls += calls
     noted.probes += probes
@@ -101,6 +107,11 @@
 # Three tries end servers, one more does so later than it takes to tell all gateways.
 ENDING = ending_calls(8, AT_S)
 LATE_ENDS = ends_of([*ENDING[:3], ENDING[7]])
+# Twelve requests within 0.6 s, where eleven are allowed within 4 s.
+CROWD = [
+    CallRecord(f"soak-{n}", "safe", "/safe/x", GATEWAY, answer(), *2 * [AT_S + n / 20])
+    for n in range(12)
+]
 LOST = answer(status=None, whole=False)
 REFUSED = answer(status=503)
 BROKEN = {
@@ -127,6 +138,14 @@
     "worked_on_for_nobody": records(
         [call("safe", LOST, left=True)], [run(ended_s=AT_S + 2)]
     ),
+    "arrived_after_the_end": records(
+        [call("safe")], [run(), run(arrived_s=AT_S + 5, ended_s=AT_S + 5.1)]
+    ),
+    "limit_exceeded": records(
+        CROWD,
+        [run(one.request_id, one.started_s) for one in CROWD],
+        limits=[NamedLimit("i-1", 1.0, AT_S - 4, AT_S + 9)],
+    ),
     "not_kept_off": records(ENDING, ends=LATE_ENDS),
     "refused_for_another": records(
         [call(seen=answer(status=503, body=b'{"reason": "ends_targets"}'))]
@@ -183,3 +202,23 @@
     noted = records([call(seen=REFUSED)])
     assert len(_promises.not_recovered(noted, AT_S - 1)) == 1
     assert len(_promises.not_recovered(noted, AT_S + 1)) == 1
+
+
+def test_limit_holds_once_it_has_been_named_for_a_while():
+    """Gateways need some time to hear of it, and one that was frozen more."""
+    noted = copy.deepcopy(BROKEN["limit_exceeded"])
+    noted.limits = [NamedLimit("i-1", 1.0, AT_S - 2, AT_S + 9)]
+    assert broken(_promises.limit_exceeded, noted) == []
+    noted.limits = [NamedLimit("i-1", 1.0, AT_S - 4, AT_S + 9)]
+    span = noted.disruptions.begin(("gateway", GATEWAY), AT_S - 1)
+    noted.disruptions.end(span, AT_S)
+    assert broken(_promises.limit_exceeded, noted) == []
+
+
+def test_frozen_server_reads_late_what_came_in_time():
+    """A link that was cut excuses no late arrival, a process that stood still does."""
+    noted = copy.deepcopy(BROKEN["arrived_after_the_end"])
+    noted.disruptions.begin(("server", "server-0"), AT_S)
+    assert len(broken(_promises.arrived_after_the_end, noted)) == 1
+    noted.disruptions.begin(("process", "server-0"), AT_S)
+    assert broken(_promises.arrived_after_the_end, noted) == []
--- a/siskinthread/platform/tests/test_target_limits.py
+++ b/siskinthread/platform/tests/test_target_limits.py
@@ -91,3 +91,29 @@
         refused = [one for one in load.responses if status_of(one) == 503]
         assert len(refused) == len(load.statuses) - served_count
         assert all(b"retry-after: " in one.lower() for one in refused)
+
+
+def test_servers_whose_limits_are_over_are_used_again():
+    """Callers were refused for limits that had ended 7 s before.
+
+    All servers name a limit, the lowest one nothing at all, and then none any more;
+    the one that takes nothing is found to be back by a test.
+    """
+
+    async def test(fleet):
+        services = limit_servers(fleet, ("0", "3", "3", "3"))
+        load = Load(fleet)
+        await load.run(fleet.entries, for_s=3.0)
+        for service in services:
+            service.limit = None
+        # Until the last one is tested, and until all get as much as any other.
+        await load.run(fleet.entries, for_s=6.0)
+        for service in services:
+            service.arrivals_s.clear()
+        load.statuses.clear()
+        await load.run(fleet.entries, for_s=2.0)
+        return load.statuses, [len(service.arrivals_s) for service in services]
+
+    statuses, arrived_counts = run_fleet(test, entry_count=4, server_count=4)
+    assert set(statuses) == {200}
+    assert min(arrived_counts) >= len(statuses) / 8
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -5,8 +5,8 @@
 
 Run it with ``python -m standins.platform_server --port 0 --instance-id i-1``.  ``POST
 /faults`` takes ``behaviours``: names of `BEHAVIOURS` for the next requests, in place of
-those before; with ``--steady`` also ``shares`` and ``seed``, and ``GET /runs`` answers
-what `SteadyService` has noted.
+those before; with ``--steady`` also ``shares`` and ``seed``, and ``limit``, which its
+answers then name, and ``GET /runs`` answers what `SteadyService` has noted.
 """
 
 import argparse
@@ -163,6 +163,8 @@
         self.behaviours.clear()
         for name in faults.get("behaviours", ()):
             self.behaviours.append(BEHAVIOURS[name])
+        if "limit" in faults:
+            self._default.limit = faults["limit"]
         if "shares" in faults:
             self._default.set_faults(faults["shares"], faults["seed"])
         return {}
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -96,15 +96,18 @@
     ----------
     runs : list of Run
         Every request that arrived.
+    limit : str or None
+        The limit that its answers name, requests a second.
     """
 
-    __slots__ = ("_instance_id", "_random", "_running", "_shares", "runs")
+    __slots__ = ("_instance_id", "_random", "_running", "_shares", "limit", "runs")
 
     def __init__(self, instance_id):
         self._instance_id = instance_id
         self._random = random.Random(0)
         self._shares = {}
         self._running = 0
+        self.limit = None
         self.runs = []
 
     def set_faults(self, shares, seed):
@@ -144,7 +147,7 @@
             self._running -= 1
 
     async def _decline(self, request, client, status):
-        headers = ["X-Not-Executed: 1", self._load_header()]
+        headers = ["X-Not-Executed: 1", *self._state_headers()]
         await client.sendall(
             answer_bytes(request.request_id, status, b"", headers),
         )
@@ -159,7 +162,7 @@
         if await _left_within(client, WORK_S):
             return CLOSE
         body = expected_body(request.request_id, run.path)
-        headers = sealed([self._load_header()])
+        headers = sealed(self._state_headers())
         answer = answer_bytes(request.request_id, body=body, headers=headers)
         if fault is not None:
             return await _FAULTS[fault](answer, request, client)
@@ -174,7 +177,7 @@
             f"X-Request-Id: {request.request_id}",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
-            *sealed([f"X-Instance-Id: {self._instance_id}"]),
+            *sealed([f"X-Instance-Id: {self._instance_id}", *self._limit_headers()]),
         ]
         await client.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
         broken_at = None
@@ -200,8 +203,12 @@
             drawn -= share
         return None
 
-    def _load_header(self):
-        return f"X-Server-Load: {self._running},0,{SLOT_COUNT}"
+    def _state_headers(self):
+        load = f"X-Server-Load: {self._running},0,{SLOT_COUNT}"
+        return [load, *self._limit_headers()]
+
+    def _limit_headers(self):
+        return [] if self.limit is None else [f"Server-Limit: {self.limit}"]
 
 
 def _end_process(run):
