Ask once for all targets whether they may get a request

Change: admitted(entries) returns the targets as they are while none is limited, and reckons what is asked for once. Ruled out: nothing else differs; tests of limits and choice pass.

--- a/siskinthread/target_limits/__init__.py
+++ b/siskinthread/target_limits/__init__.py
@@ -2,8 +2,8 @@
 
 Interface: ``TargetLimits(settings, clock, random)``; ``note_answer(entry, sent_at_s,
 stated)`` takes what an answer states, ``note_asked(service_name)`` each request of a
-caller, ``admits(instance_id)`` tells whether a target may get a request now and
-``note_sent(instance_id)`` that it gets one.  Entries tell one another its
+caller, ``admitted(entries)`` tells which targets may get a request now and
+``note_sent(instance_id)`` that one gets it.  Entries tell one another its
 ``statements()`` and ``asked_rates()``; ``hear(statements, told_by)`` takes the former,
 ``peers`` tells the latter.
 """
--- a/siskinthread/target_limits/_register.py
+++ b/siskinthread/target_limits/_register.py
@@ -135,12 +135,13 @@
             if limit.service_name == service_name:
                 limit.earn(own_per_s, asked_per_s, now_s)
 
-    def admits(self, instance_id):
-        """Return whether a target may get a request now."""
-        limit = self._limits.get(instance_id)
-        if limit is None:
-            return True
-        return self._has_place(limit) or self._is_test_due(limit)
+    def admitted(self, entries):
+        """Return those of some targets that may get a request now."""
+        if not self._limits:
+            return entries
+        many = {one.service_name for one in entries}
+        many = {name for name in many if self._are_many_asked(name)}
+        return [one for one in entries if self._admits(one.instance_id, many)]
 
     def note_sent(self, instance_id):
         """Note that a target gets a request."""
@@ -265,12 +266,29 @@
         )
         return used_per_s * self._asked.rate_per_s(service_name) / asked_per_s
 
-    def _has_place(self, limit):
+    def _admits(self, instance_id, many):
+        """Return whether a target may get a request now.
+
+        Parameters
+        ----------
+        instance_id : str
+            The target.
+        many : set of str
+            Services of which callers ask this entry for many requests.
+        """
+        limit = self._limits.get(instance_id)
+        if limit is None:
+            return True
+        if limit.service_name in many:
+            has_place = limit.allowance_count >= 1
+        else:
+            has_place = self._random.random() < limit.chance
+        return has_place or self._is_test_due(limit)
+
+    def _are_many_asked(self, service_name):
         settings = self._settings
         many_per_s = settings.many_asked_count / settings.asked_memory_s
-        if self._asked.rate_per_s(limit.service_name) >= many_per_s:
-            return limit.allowance_count >= 1
-        return self._random.random() < limit.chance
+        return self._asked.rate_per_s(service_name) >= many_per_s
 
     def _is_test_due(self, limit):
         """Return whether it is this entry's turn to see whether a limit is over.
--- a/siskinthread/target_limits/tests/model.py
+++ b/siskinthread/target_limits/tests/model.py
@@ -52,7 +52,7 @@
     def takes(self):
         """Return whether one more request of a caller is sent to the target."""
         self.limits.note_asked(TARGET.service_name)
-        if not self.limits.admits(TARGET.instance_id):
+        if not self.limits.admitted([TARGET]):
             return False
         self.limits.note_sent(TARGET.instance_id)
         return True
--- a/siskinthread/target_limits/tests/test_register.py
+++ b/siskinthread/target_limits/tests/test_register.py
@@ -54,7 +54,7 @@
         for _ in range(round(asked_per_s * for_s)):
             self.clock.advance(1 / asked_per_s)
             self.limits.note_asked(TARGET.service_name)
-            if self.limits.admits(TARGET.instance_id):
+            if self.limits.admitted([TARGET]):
                 self.limits.note_sent(TARGET.instance_id)
                 sent_count += 1
         return sent_count
@@ -87,8 +87,8 @@
 def test_other_targets_are_not_limited():
     """A limit is one of a target, not of its service."""
     limited = Limited(0)
-    assert not limited.limits.admits(TARGET.instance_id)
-    assert limited.limits.admits("i-9")
+    assert not limited.limits.admitted([TARGET])
+    assert limited.limits.admitted([entry("i-9")])
 
 
 def test_answer_that_was_overtaken_neither_ends_a_limit_nor_brings_it_back():
@@ -228,7 +228,7 @@
     """Another server may get its address, never its limit."""
     limited = Limited(0)
     limited.limits.forget("i-1")
-    assert limited.limits.admits("i-1")
+    assert limited.limits.admitted([TARGET])
     assert limited.limits.statements() == []
 
 
