Cut links of the soak for longer than gateways wait, and write the limits down

Change: a seed may cut the link of a server for 4 s to 7 s, drawn beside the other faults. Ruled out: a shorter route timeout, which would change all earlier seeds.

--- a/scripts/soak/_faults.py
+++ b/scripts/soak/_faults.py
@@ -283,6 +283,7 @@
     "reset server link": Faults.reset,
     "silence server link": Faults.silence,
     "cut server link": Faults.cut,
+    "cut server link for long": Faults.cut,
     "store busy": partial(Faults.store_mode, mode="busy"),
     "store silent": partial(Faults.store_mode, mode="silent"),
     "store resets": partial(Faults.store_mode, mode="reset"),
--- a/scripts/soak/_plan.py
+++ b/scripts/soak/_plan.py
@@ -46,6 +46,11 @@
 # Long enough for a window that counts: 3 s until a limit holds, and 4 s.
 LIMIT_SPAN_S = (8.0, 11.0)
 FAULT_KINDS[LIMIT_KIND] = (LIMITED, LIMIT_SPAN_S)
+# Longer than gateways wait for an answer, so that they give requests up meanwhile.
+LONG_CUT_KIND = "cut server link for long"
+LONG_CUT_SPAN_S = (4.0, 7.0)
+LONG_CUTS_LIMIT = 2
+FAULT_KINDS[LONG_CUT_KIND] = (SERVER, LONG_CUT_SPAN_S)
 # Few faults leave parts alone for long enough that time bounds hold for them; many
 # overlap.
 FAULTS_PER_S = (0.3, 2.5)
@@ -116,6 +121,7 @@
                 faults.append(fault)
     faults += _draw_restores(seed, trouble_s)
     faults += _draw_limits(seed, trouble_s, server_count)
+    faults += _draw_long_cuts(seed, trouble_s, server_count)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -140,3 +146,15 @@
         at_s = drawn.uniform(0.0, trouble_s - for_s)
         limits.append(Fault(LIMIT_KIND, server, at_s, for_s, drawn.randrange(2**31)))
     return limits
+
+
+def _draw_long_cuts(seed, trouble_s, server_count):
+    """Return the long cuts between a seed's servers and all gateways, often none."""
+    drawn = random.Random(f"long cuts {seed}")
+    cuts = []
+    for _ in range(drawn.randint(0, LONG_CUTS_LIMIT)):
+        for_s = min(drawn.uniform(*LONG_CUT_SPAN_S), trouble_s)
+        at_s = drawn.uniform(0.0, trouble_s - for_s)
+        server = drawn.randrange(server_count)
+        cuts.append(Fault(LONG_CUT_KIND, server, at_s, for_s, drawn.randrange(2**31)))
+    return cuts
