Forget limits of which no entry has had an answer for a minute

Cause: an entry that had dropped a target that is gone heard of its limit from one that had not yet, and told it on; nothing ended that, so news would have told of such limits for ever. Change: a limit is forgotten 60 s after the last answer that named it, and an older word is not heard. Ruled out: a test of the target would have refreshed it, but a gone target gets no request. Figures: a test of two entries that tell each other fails before (the limit is still told after 61 s) and passes after.

--- a/siskinthread/target_limits/_limit.py
+++ b/siskinthread/target_limits/_limit.py
@@ -67,8 +67,10 @@
     def is_over(self, now_s):
         """Return whether the target is like any other one again."""
         settings = self._settings
-        ramp_s = settings.doubling_s * settings.doubling_count
-        return self.rate_per_s is None and now_s - self.stated_at_s >= ramp_s
+        lasts_s = settings.memory_s
+        if self.rate_per_s is None:
+            lasts_s = settings.doubling_s * settings.doubling_count
+        return now_s - self.stated_at_s >= lasts_s
 
     def used_rate_per_s(self, now_s):
         """Return the requests a second that all entries together send."""
--- a/siskinthread/target_limits/_register.py
+++ b/siskinthread/target_limits/_register.py
@@ -90,7 +90,8 @@
         now_s = self._clock.monotonic_s()
         for statement in statements:
             known = self._limits.get(statement.instance_id)
-            if known is None and statement.rate_per_s is None:
+            is_told_late = statement.age_s >= self._settings.memory_s
+            if is_told_late or (known is None and statement.rate_per_s is None):
                 continue
             if known is None or now_s - statement.age_s > known.stated_at_s:
                 self._take(statement, now_s, told_by)
@@ -98,7 +99,7 @@
     def statements(self):
         """Return what peers should be told, a bounded number of `LimitStatement`."""
         now_s = self._clock.monotonic_s()
-        self._drop_ended(now_s)
+        self._drop_over(now_s)
         told = [
             limit
             for limit in self._limits.values()
@@ -128,7 +129,7 @@
         if not self._limits:
             return
         now_s = self._clock.monotonic_s()
-        self._drop_ended(now_s)
+        self._drop_over(now_s)
         own_per_s = self._asked.rate_per_s(service_name)
         asked_per_s = self._asked_per_s(service_name)
         for limit in self._limits.values():
@@ -305,7 +306,7 @@
         turn = 0 if self.peers is None else self.peers.turn_of(limit.instance_id)
         return unheard_s >= wait_s * (1 + turn)
 
-    def _drop_ended(self, now_s):
+    def _drop_over(self, now_s):
         over = [name for name, one in self._limits.items() if one.is_over(now_s)]
         for instance_id in over:
             del self._limits[instance_id]
--- a/siskinthread/target_limits/_settings.py
+++ b/siskinthread/target_limits/_settings.py
@@ -94,6 +94,13 @@
         description="Doublings after which a target whose limit has ended is like any "
         "other one; 3 s with the default time.",
     )
+    memory_s = Item(
+        float,
+        default=60.0,
+        minimum=1.0,
+        description="Time without an answer of a target to any entry after which its "
+        "limit is forgotten. With callers, one entry tests it every 2 s.",
+    )
     targets_limit = Item(
         int,
         default=1024,
--- a/siskinthread/target_limits/tests/test_register.py
+++ b/siskinthread/target_limits/tests/test_register.py
@@ -232,6 +232,26 @@
     assert limited.limits.statements() == []
 
 
+def test_entries_do_not_keep_a_limit_alive_by_telling_one_another():
+    """Symptom: news tell for ever of limits of targets that are gone.
+
+    Events: a target is gone; an entry that has forgotten its limit hears of it from
+    one that has not, and goes on to tell others.  Nobody has an answer of the target.
+    """
+    first, second = Limited(2), Limited()
+    first.limits.forget("i-1")
+    second.answer(2)
+    for _ in range(round(SETTINGS.memory_s) + 1):
+        first.limits.hear(second.limits.statements(), "second")
+        second.limits.hear(first.limits.statements(), "first")
+        first.clock.advance(1.0)
+        second.clock.advance(1.0)
+    assert first.limits.statements() == second.limits.statements() == []
+    assert first.limits.asked_rates() == {}
+    first.limits.hear([LimitStatement("i-1", "app", 2.0, age_s=1e6)], "second")
+    assert first.limits.statements() == []
+
+
 def test_limits_that_are_remembered_are_bounded():
     """As many servers as there may ever be don't fill the memory."""
     settings = TargetLimitSettings(targets_limit=3)
