Show what an operator sees who publishes on a log that lost its tail

Change: a test of the whole way: accepted on the shortened log, running processes keep their state and count the log as shortened, the lost records are restored, the same change is refused for its old version and accepted for the new one, and comes into force. Ruled out: asking processes at each publication; not built.

--- a/siskinthread/configuration/tests/test_publisher.py
+++ b/siskinthread/configuration/tests/test_publisher.py
@@ -13,6 +13,7 @@
     Refused,
 )
 from siskinthread.configuration.tests.fakes import body, change, FakeLog, host
+from siskinthread.configuration.tests.nodes import changed_log, Node
 from siskinthread.timing import Deadline, ManualClock, SYSTEM_CLOCK
 
 NO_WAIT = ConfigurationSettings(retry_wait_first_s=0.001, retry_wait_limit_s=0.001)
@@ -114,3 +115,30 @@
     log.put(body("r1", -1, [host("h", v="1")]))
     outcome = publish(log, change("r1", 0, [host("h", v="2")]))
     assert isinstance(outcome, Refused)
+
+
+def test_publication_on_a_shortened_log_is_accepted_there_and_in_force_nowhere():
+    """An operator is told "accepted", and no running process has the change.
+
+    The log loses its last two records and is written on by a publication, which reads
+    the log alone.  Running processes hold what was lost, count the log as shortened,
+    and follow it no more.  The operator sees that in their logs and
+    metrics, has the lost records restored, and publishes again.
+    """
+    log = changed_log(4)
+    node = Node(log)
+    node.step()
+    lost = log.records[2:]
+    log.truncate(2)
+    node.step()
+    outcome = publish(log, change("r9", 1, [host("x")]))
+    assert (type(outcome), outcome.version) == (Published, 2)
+    node.step(2)
+    assert (node.version, "x" in node.view.state.hosts) == (3, False)
+    assert node.troubles("shortened") >= 2
+    log.truncate(2)
+    log.records += lost
+    assert isinstance(publish(log, change("r9", 1, [host("x")])), LostConflict)
+    assert publish(log, change("r10", 3, [host("x")])).version == 4
+    node.step(2)
+    assert (node.version, "x" in node.view.state.hosts) == (4, True)
