--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -4,6 +4,7 @@
 
 from siskinthread.errors import ConnectionLostError, TargetError, TargetSilentError
 from siskinthread.gateway._event_stream import EVENT_STREAM_TYPE, EventSplitter
+from siskinthread.gateway._stream_progress import StreamProgress
 
 STATUS_OK = 200
 # To callers they promise that the request has not run and never will.
@@ -272,7 +273,7 @@
 
     async def _relay_events(self, head):
         """Pass on the events of a stream as they come, each of them whole."""
-        progress = _StreamProgress(
+        progress = StreamProgress(
             self._parts.progress,
             self._parts.choice.group_of(self.entry.instance_id),
             self.entry.instance_id,
@@ -324,42 +325,6 @@
         return events.first_id == last_id + 1
 
 
-class _StreamProgress:
-    """Tells the progress of a stream to that of its group, if it has one.
-
-    Parameters
-    ----------
-    progress : GroupProgress
-        That of all groups.
-    group : str or None
-        The stream's group.
-    instance_id : str
-        The stream's target.
-    """
-
-    __slots__ = ("_group", "_has_begun", "_instance_id", "_progress")
-
-    def __init__(self, progress, group, instance_id):
-        self._progress = progress
-        self._group = group
-        self._instance_id = instance_id
-        self._has_begun = False
-
-    def event_came(self):
-        """Note an event."""
-        if self._group is None:
-            return
-        if not self._has_begun:
-            self._has_begun = True
-            self._progress.stream_began(self._group, self._instance_id)
-        self._progress.event_came(self._group)
-
-    def end(self):
-        """Note that the stream is over."""
-        if self._has_begun:
-            self._progress.stream_ended(self._group, self._instance_id)
-
-
 def _is_event_stream(head):
     if head.status != STATUS_OK:
         return False
