Keep places at limited targets for the most urgent requests

What callers saw: where all servers of a service are limited, alerts were refused as often as what can wait. Cause: who got a place was chance. Change: half of what an entry has saved of a limit beyond one request is left to requests of the most urgent rank that came within 10 s. Ruled out: weighing chances by rank where few requests come; it needs to know how many of each rank come.

--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -63,7 +63,9 @@
             must be closed, which shows the caller that the answer is not whole.
         """
         self._parts.budgets.note_request(self._request.service_name)
-        self._parts.limits.note_asked(self._request.service_name)
+        self._parts.limits.note_asked(
+            self._request.service_name, self._request.priority
+        )
         account = self._request.account
         if account is None:
             return await self._try_targets()
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -101,7 +101,7 @@
         fresh = [entry for entry in serving if entry.instance_id not in tried_ids]
         if not fresh:
             return self._refusal(Reason.NO_TARGET, request, "No target can take it.")
-        admitted = self._limits.admitted(fresh)
+        admitted = self._limits.admitted(fresh, request.service_name, request.priority)
         if not admitted:
             return self._refusal_for_limits(request, fresh)
         trusted = self._trusted(admitted)
--- a/siskinthread/target_limits/__init__.py
+++ b/siskinthread/target_limits/__init__.py
@@ -1,11 +1,11 @@
 """Limits that targets in need name: requests a second from all entries together.
 
 Interface: ``TargetLimits(settings, clock, random)``; ``note_answer(entry, sent_at_s,
-stated)`` takes what an answer states, ``note_asked(service_name)`` each request of a
-caller, ``admitted(entries)`` tells which targets may get a request now and
-``note_sent(instance_id)`` that one gets it.  Entries tell one another its
-``statements()`` and ``asked_rates()``; ``hear(statements, told_by)`` takes the former,
-``peers`` tells the latter.
+stated)`` takes what an answer states, ``note_asked(service_name, priority)`` each
+request of a caller, ``admitted(entries, service_name, priority)`` tells which targets
+may get a request now and ``note_sent(instance_id)`` that one gets it.  Entries tell one
+another its ``statements()`` and ``asked_rates()``; ``hear(statements, told_by)`` takes
+the former, ``peers`` tells the latter.
 """
 
 from siskinthread.target_limits._register import TargetLimits
--- a/siskinthread/target_limits/_asked.py
+++ b/siskinthread/target_limits/_asked.py
@@ -36,3 +36,37 @@
         rate_per_s, at_s = known
         age_s = self._clock.monotonic_s() - at_s
         return rate_per_s * math.exp(-age_s / self._memory_s)
+
+
+class MostUrgent:
+    """The most urgent rank of callers' requests lately, by service.
+
+    Parameters
+    ----------
+    memory_s : float
+        How long a rank counts after its last request, seconds.
+    clock : siskinthread.timing.Clock
+        Clock of the times.
+    """
+
+    __slots__ = ("_clock", "_known", "_memory_s")
+
+    def __init__(self, memory_s, clock):
+        self._memory_s = memory_s
+        self._clock = clock
+        # Rank, 0 first, and when it was asked for last, monotonic seconds.
+        self._known = {}
+
+    def note(self, service_name, priority):
+        """Note the rank of a request."""
+        if self.includes(service_name, priority):
+            self._known[service_name] = (priority, self._clock.monotonic_s())
+
+    def includes(self, service_name, priority):
+        """Return whether no request of a more urgent rank came lately."""
+        known = self._known.get(service_name)
+        if known is None:
+            return True
+        most_urgent, at_s = known
+        is_over = self._clock.monotonic_s() - at_s > self._memory_s
+        return is_over or priority <= most_urgent
--- a/siskinthread/target_limits/_limit.py
+++ b/siskinthread/target_limits/_limit.py
@@ -26,6 +26,8 @@
         the next one is sent with that chance, and the entry owes what is missing of it.
     allowance_count : float
         Requests that this entry's part of the limit leaves it, where many come.
+    most_allowance_count : float
+        The most that is saved of it.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "earned_at_s",
         "ended_rate_per_s",
         "instance_id",
+        "most_allowance_count",
         "rate_per_s",
         "service_name",
         "stated_at_s",
@@ -52,6 +55,7 @@
         self.earned_at_s = None
         self.chance = 0.0
         self.allowance_count = 0.0
+        self.most_allowance_count = 1.0
 
     def state(self, rate_per_s, stated_at_s):
         """Take a newer statement."""
@@ -106,6 +110,7 @@
         part = own_per_s / asked_per_s
         most = 1 + part * (settings.saved_count + rate_per_s * settings.saved_s)
         earned = self._part_rate_per_s(part, rate_per_s) * passed_s
+        self.most_allowance_count = most
         self.allowance_count = min(most, self.allowance_count + earned)
 
     def _part_rate_per_s(self, part, rate_per_s):
@@ -118,6 +123,15 @@
         sure_per_s = self._settings.used_share * self.rate_per_s
         return part * (rate_per_s + part * (sure_per_s - rate_per_s))
 
+    def has_allowance(self, is_urgent):
+        """Return whether this entry's part leaves it a request of a rank.
+
+        Half of what is saved beyond one request is left to the most urgent ones, which
+        then find a place though others ask for more than there are.
+        """
+        kept = 0.0 if is_urgent else (self.most_allowance_count - 1) / 2
+        return self.allowance_count >= 1 + kept
+
     def spend(self):
         """Take away what a request that is sent costs."""
         self.chance = max(-1.0, self.chance - 1)
--- a/siskinthread/target_limits/_register.py
+++ b/siskinthread/target_limits/_register.py
@@ -1,7 +1,7 @@
 """The limits of all targets, as this entry and its peers have learnt them."""
 
 from siskinthread.observability import part_logger
-from siskinthread.target_limits._asked import AskedRates
+from siskinthread.target_limits._asked import AskedRates, MostUrgent
 from siskinthread.target_limits._limit import Limit
 from siskinthread.target_limits._statement import LimitStatement
 
@@ -43,6 +43,7 @@
         "_random",
         "_settings",
         "_unreadable",
+        "_urgent",
         "peers",
     )
 
@@ -51,6 +52,7 @@
         self._clock = clock
         self._random = random
         self._asked = AskedRates(settings.asked_memory_s, clock)
+        self._urgent = MostUrgent(settings.urgent_memory_s, clock)
         self._limits = {}
         # Targets whose unreadable limit was logged.
         self._unreadable = set()
@@ -123,9 +125,10 @@
         rates = {name: self._asked.rate_per_s(name) for name in services}
         return {name: round(rate, 2) for name, rate in rates.items() if rate >= 0.01}
 
-    def note_asked(self, service_name):
+    def note_asked(self, service_name, priority):
         """Count a request of a caller, and what it entitles this entry to."""
         self._asked.note(service_name)
+        self._urgent.note(service_name, priority)
         if not self._limits:
             return
         now_s = self._clock.monotonic_s()
@@ -136,13 +139,25 @@
             if limit.service_name == service_name:
                 limit.earn(own_per_s, asked_per_s, now_s)
 
-    def admitted(self, entries):
-        """Return those of some targets that may get a request now."""
+    def admitted(self, entries, service_name, priority):
+        """Return those of some targets of a service that may get a request now.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+            The targets.
+        service_name : str
+            Their service.
+        priority : int
+            Rank of the request, 0 first.
+        """
         if not self._limits:
             return entries
-        many = {one.service_name for one in entries}
-        many = {name for name in many if self._are_many_asked(name)}
-        return [one for one in entries if self._admits(one.instance_id, many)]
+        is_urgent = self._urgent.includes(service_name, priority)
+        are_many = self._are_many_asked(service_name)
+        return [
+            one for one in entries if self._admits(one.instance_id, are_many, is_urgent)
+        ]
 
     def note_sent(self, instance_id):
         """Note that a target gets a request."""
@@ -267,21 +282,23 @@
         )
         return used_per_s * self._asked.rate_per_s(service_name) / asked_per_s
 
-    def _admits(self, instance_id, many):
+    def _admits(self, instance_id, are_many, is_urgent):
         """Return whether a target may get a request now.
 
         Parameters
         ----------
         instance_id : str
             The target.
-        many : set of str
-            Services of which callers ask this entry for many requests.
+        are_many : bool
+            Whether callers ask this entry for many requests of its service.
+        is_urgent : bool
+            Whether this request is of the most urgent rank among them.
         """
         limit = self._limits.get(instance_id)
         if limit is None:
             return True
-        if limit.service_name in many:
-            has_place = limit.allowance_count >= 1
+        if are_many:
+            has_place = limit.has_allowance(is_urgent)
         else:
             has_place = self._random.random() < limit.chance
         return has_place or self._is_test_due(limit)
--- a/siskinthread/target_limits/_settings.py
+++ b/siskinthread/target_limits/_settings.py
@@ -53,6 +53,13 @@
         description="Callers' requests within that time from which on an entry goes by "
         "its part of a limit; with fewer, chance decides on each request.",
     )
+    urgent_memory_s = Item(
+        float,
+        default=10.0,
+        minimum=0.0,
+        description="How long the most urgent rank of a service's requests counts. "
+        "Part of what an entry has saved of a limit is kept for these.",
+    )
     saved_s = Item(
         float,
         default=0.5,
--- a/siskinthread/target_limits/tests/model.py
+++ b/siskinthread/target_limits/tests/model.py
@@ -51,8 +51,8 @@
 
     def takes(self):
         """Return whether one more request of a caller is sent to the target."""
-        self.limits.note_asked(TARGET.service_name)
-        if not self.limits.admitted([TARGET]):
+        self.limits.note_asked(TARGET.service_name, 1)
+        if not self.limits.admitted([TARGET], "app", 1):
             return False
         self.limits.note_sent(TARGET.instance_id)
         return True
@@ -72,7 +72,7 @@
 
     def takes(self):
         """Return whether one more request of a caller is sent to the target."""
-        self.limits.note_asked(TARGET.service_name)
+        self.limits.note_asked(TARGET.service_name, 1)
         known = self.limits.statements()
         if not known:
             return True
--- a/siskinthread/target_limits/tests/test_register.py
+++ b/siskinthread/target_limits/tests/test_register.py
@@ -53,8 +53,8 @@
         sent_count = 0
         for _ in range(round(asked_per_s * for_s)):
             self.clock.advance(1 / asked_per_s)
-            self.limits.note_asked(TARGET.service_name)
-            if self.limits.admitted([TARGET]):
+            self.limits.note_asked(TARGET.service_name, 1)
+            if self.limits.admitted([TARGET], "app", 1):
                 self.limits.note_sent(TARGET.instance_id)
                 sent_count += 1
         return sent_count
@@ -87,8 +87,8 @@
 def test_other_targets_are_not_limited():
     """A limit is one of a target, not of its service."""
     limited = Limited(0)
-    assert not limited.limits.admitted([TARGET])
-    assert limited.limits.admitted([entry("i-9")])
+    assert not limited.limits.admitted([TARGET], "app", 1)
+    assert limited.limits.admitted([entry("i-9")], "app", 1)
 
 
 def test_answer_that_was_overtaken_neither_ends_a_limit_nor_brings_it_back():
@@ -190,6 +190,38 @@
     assert limited.sent_count(200, for_s=4) <= 125
 
 
+def test_urgent_requests_find_a_place_though_others_ask_for_more_than_there_are():
+    """Alerts of a rail inspectorate are refused beside notices that can wait.
+
+    Callers ask for four times what a limited server takes; a fifth of that is urgent,
+    which is less than what it takes.
+    """
+    limited = Limited(10)
+    limits, served = limited.limits, {0: 0, 5: 0}
+    for number in range(400):
+        limited.clock.advance(1 / 40)
+        priority = 0 if number % 5 == 0 else 5
+        limits.note_asked("app", priority)
+        if limits.admitted([TARGET], "app", priority):
+            limits.note_sent("i-1")
+            served[priority] += 1
+        if number % 40 == 0:
+            limited.answer(10)
+    assert served[0] >= 0.9 * 80
+    assert served[0] + served[5] >= 0.8 * 10 * 10
+
+
+def test_rank_that_comes_no_more_holds_nothing_back():
+    """Symptom: part of a limit is kept for requests that nobody sends any more."""
+    limited = Limited(10)
+    limited.limits.note_asked("app", 0)
+    limited.clock.advance(SETTINGS.urgent_memory_s + 0.1)
+    limited.answer(10)
+    limited.limits.note_asked("app", 5)
+    assert limited.limits._urgent.includes("app", 5)
+    assert not limited.limits._urgent.includes("app", 6)
+
+
 def test_refused_callers_get_places_one_behind_the_other():
     """Symptom: all callers that were refused come back at one moment.
 
@@ -208,7 +240,7 @@
 def test_nothing_is_promised_where_nothing_is_taken():
     """A caller of a server that takes nothing comes back as late as it can."""
     limited = Limited(0)
-    limited.limits.note_asked("app")
+    limited.limits.note_asked("app", 1)
     assert limited.limits.come_back_after_s("app", 1.5) == 1.5
 
 
@@ -228,7 +260,7 @@
     """Another server may get its address, never its limit."""
     limited = Limited(0)
     limited.limits.forget("i-1")
-    assert limited.limits.admitted([TARGET])
+    assert limited.limits.admitted([TARGET], "app", 1)
     assert limited.limits.statements() == []
 
 
