Close connections of calls of services again instead of resetting them

Cause: an order that is not answered in time was reset; a slow rank has not read it yet, so that it is lost, and a held group waits for the next one. Ranks and store allow for calls that take effect late.

--- a/siskinthread/shared_services/_http.py
+++ b/siskinthread/shared_services/_http.py
@@ -7,7 +7,6 @@
 import h11
 
 from siskinthread.errors import PlatformRefusedError, PlatformUnavailableError
-from siskinthread.sockets import reset
 
 RECEIVE_SIZE_BYTES = 64 * 1024
 SIZE_LIMIT_BYTES = 64 * 1024 * 1024
@@ -182,9 +181,10 @@
             result = await connection.exchange(method, target, body, headers)
         except BaseException:
             # A connection that failed or was given up half-way may still deliver the
-            # late answer, which the next request would take for its own.  It is reset,
-            # or a call that is held up would take effect after later ones.
-            await connection.give_up()
+            # late answer, which the next request would take for its own.  It is not
+            # reset: an order that a slow rank has not read yet must still arrive, or a
+            # group that is held waits for the next one.
+            await connection.close()
             raise
         if connection.reusable() and len(self._idle) < IDLE_CONNECTIONS_KEPT:
             self._idle.append(connection)
@@ -278,13 +278,9 @@
         )
 
     async def close(self):
-        """Close the connection after an exchange, or without one."""
+        """Close the connection."""
         await self._socket.close()
 
-    async def give_up(self):
-        """End the connection within an exchange."""
-        await reset(self._socket)
-
     def _encode(self, method, target, body, headers):
         framing = [("host", self._authority), ("content-length", str(len(body)))]
         request = h11.Request(
