Read what servers ask for in refusals, and log it with each attempt

Cause: the log named a declined try, not whether its answer asked for rest, so that the hypotheses could be told apart by the code only. Change: the adapter decodes Retry-After of 503 and 429 and Server-Leaving into typed values, from every answer to a request; attempts and traces show them. No decision uses them yet.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -97,6 +97,10 @@
         closed it for its age, and is not to be blamed.
     is_group_fault : bool
         Whether another rank of the target's group is what failed.
+    rest_asked_s : float
+        For how long the target wants no more requests, seconds.
+    says_leaving : bool
+        Whether the target says that it leaves.
     """
 
     __slots__ = (
@@ -116,8 +120,10 @@
         "list_age_s",
         "load_when_chosen",
         "reason",
+        "rest_asked_s",
         "rested_s",
         "result",
+        "says_leaving",
         "written",
     )
 
@@ -138,6 +144,8 @@
         self.is_success = False
         self.is_group_fault = False
         self.is_stale = False
+        self.rest_asked_s = 0.0
+        self.says_leaving = False
         self.load_when_chosen = parts.loads.total(entry.instance_id)
         self.list_age_s = parts.targets.age_s()
         self.rested_s = None
@@ -197,6 +205,8 @@
         self._has_head = True
         self.is_success = head.status in SUCCESS_STATUSES
         facts = parts.wire.read_answer(head)
+        self.rest_asked_s = facts.stated_rest.wait_s
+        self.says_leaving = facts.is_leaving
         if facts.load is not None:
             parts.loads.report(self.entry.instance_id, facts.load)
         parts.limits.note_answer(self.entry, sent_at_s, facts.stated_limit)
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -108,6 +108,8 @@
                 "target_ended": attempt.has_target_ended,
                 "list_age_s": _rounded(attempt.list_age_s),
                 "rested_s": _rounded(attempt.rested_s),
+                "rest_asked_s": attempt.rest_asked_s,
+                "says_leaving": attempt.says_leaving,
             }
             for attempt in self._attempts
         ]
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -145,17 +145,23 @@
         Whether the connection ends with this answer.
     stated_limit : siskinthread.target_limits.StatedLimit
         What it says of the rate of requests that the target takes.
+    stated_rest : siskinthread.target_limits.StatedRest
+        For how long the target wants no request from this entry.
+    is_leaving : bool
+        Whether it says that the target leaves.
     """
 
     __slots__ = (
         "closes",
         "is_group_fault",
+        "is_leaving",
         "is_other_instance",
         "load",
         "not_run",
         "request_id",
         "rest_limit_s",
         "stated_limit",
+        "stated_rest",
     )
 
     def __init__(
@@ -168,6 +174,8 @@
         rest_limit_s,
         closes,
         stated_limit,
+        stated_rest,
+        is_leaving,
     ):
         self.request_id = request_id
         self.not_run = not_run
@@ -177,3 +185,5 @@
         self.rest_limit_s = rest_limit_s
         self.closes = closes
         self.stated_limit = stated_limit
+        self.stated_rest = stated_rest
+        self.is_leaving = is_leaving
--- /dev/null
+++ b/siskinthread/platform/_stated.py
@@ -0,0 +1,57 @@
+"""What a server's answer states of what the server takes."""
+
+import math
+import re
+
+from siskinthread.target_limits import StatedLimit, StatedRest
+
+# Requests a second that the server takes from all hosts together.
+RATE_LIMIT = "server-limit"
+RETRY_AFTER = "retry-after"
+LEAVING = "server-leaving"
+LEAVING_VALUE = "1"
+NUMBER = re.compile(r"(\d+(\.\d*)?|\.\d+)", re.ASCII)
+# With these, "retry-after" is meant for the host that asked.
+REST_STATUSES = (429, 503)
+
+
+def stated_limit(headers):
+    """Return the `StatedLimit` of an answer; one that is named twice is unreadable."""
+    texts = _values(headers, RATE_LIMIT)
+    if not texts:
+        return StatedLimit()
+    text = ", ".join(texts)
+    rate_per_s = _number(text)
+    if rate_per_s is None:
+        return StatedLimit(unreadable=text)
+    return StatedLimit(rate_per_s)
+
+
+def stated_rest(status, headers):
+    """Return the `StatedRest` of an answer.
+
+    Of several values the longest counts: the server asks for that time at least.
+    """
+    texts = _values(headers, RETRY_AFTER)
+    if status not in REST_STATUSES or not texts:
+        return StatedRest()
+    waits_s = [_number(text) for text in texts]
+    readable_s = [wait_s for wait_s in waits_s if wait_s is not None]
+    unreadable = ", ".join(texts) if None in waits_s or len(texts) > 1 else None
+    return StatedRest(max(readable_s, default=0.0), unreadable)
+
+
+def says_leaving(headers):
+    """Return whether an answer says that its server leaves."""
+    return LEAVING_VALUE in _values(headers, LEAVING)
+
+
+def _values(headers, wanted):
+    return [value.strip() for name, value in headers if name == wanted]
+
+
+def _number(text):
+    """Return a number that is not negative, or None."""
+    if NUMBER.fullmatch(text) is None or not math.isfinite(float(text)):
+        return None
+    return float(text)
--- a/siskinthread/platform/_wire.py
+++ b/siskinthread/platform/_wire.py
@@ -1,11 +1,8 @@
 """Headers between callers, this system and the platform's servers."""
 
-import math
-import re
-
 from siskinthread.gateway import AnswerFacts, LoadReport, RequestFacts
 from siskinthread.http_server import HOP_BY_HOP_HEADERS, relayed_headers
-from siskinthread.target_limits import StatedLimit
+from siskinthread.platform._stated import says_leaving, stated_limit, stated_rest
 
 REQUEST_ID = "x-request-id"
 DEADLINE = "x-deadline-ms"
@@ -22,9 +19,6 @@
 NOT_RUN = "x-not-executed"
 # Running, waiting, slots.
 LOAD = "x-server-load"
-# Requests a second that the server takes from all hosts together.
-RATE_LIMIT = "server-limit"
-RATE = re.compile(r"(\d+(\.\d*)?|\.\d+)", re.ASCII)
 STATUS_MISDIRECTED = 421
 MILLISECONDS_PER_SECOND = 1000
 
@@ -94,7 +88,9 @@
             _load(values.get(LOAD)),
             _rest_limit_s(values.get("keep-alive")),
             "close" in values.get("connection", "").lower(),
-            _stated_limit(head.headers),
+            stated_limit(head.headers),
+            stated_rest(head.status, head.headers),
+            says_leaving(head.headers),
         )
 
     def answer_headers(self, head):
@@ -143,17 +139,6 @@
     return LoadReport(*numbers)
 
 
-def _stated_limit(headers):
-    """Return the `StatedLimit` of an answer; one that is named twice is unreadable."""
-    texts = [value.strip() for name, value in headers if name == RATE_LIMIT]
-    if not texts:
-        return StatedLimit()
-    text = ", ".join(texts)
-    if RATE.fullmatch(text) is None or not math.isfinite(float(text)):
-        return StatedLimit(unreadable=text)
-    return StatedLimit(float(text))
-
-
 def _rest_limit_s(text):
     """Return the seconds that a server keeps an idle connection, if it says so."""
     if text is None:
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -367,3 +367,43 @@
     stated = PlatformWire().read_answer(Head(200, headers)).stated_limit
     assert stated.rate_per_s is None
     assert stated.unreadable is not None
+
+
+@pytest.mark.parametrize(
+    ("status", "texts", "wait_s", "is_readable"),
+    [
+        (503, [], 0.0, True),
+        (503, ["0"], 0.0, True),
+        (503, ["3"], 3.0, True),
+        (503, [" 0.25 "], 0.25, True),
+        (429, ["3"], 3.0, True),
+        (503, ["99999999999"], 99_999_999_999.0, True),
+        (200, ["3"], 0.0, True),
+        (500, ["3"], 0.0, True),
+        (503, ["-3"], 0.0, False),
+        (503, ["soon"], 0.0, False),
+        (503, ["inf"], 0.0, False),
+        (503, ["9" * 400], 0.0, False),
+        (503, ["Thu, 03 Dec 2026 09:00:00 GMT"], 0.0, False),
+        (503, ["3", "1"], 3.0, False),
+        (503, ["soon", "1"], 1.0, False),
+    ],
+)
+def test_rest_that_a_server_asks_for_is_read(status, texts, wait_s, is_readable):
+    """Seconds of a refusal; of two values the longer one, of others none."""
+    headers = [("retry-after", text) for text in texts]
+    stated = PlatformWire().read_answer(Head(status, headers)).stated_rest
+    assert stated.wait_s == wait_s
+    assert (stated.unreadable is None) is is_readable
+
+
+@pytest.mark.parametrize(
+    ("texts", "is_leaving"),
+    [([], False), (["1"], True), ([" 1 "], True), (["0"], False), (["0", "1"], True)],
+)
+def test_leaving_that_a_server_states_is_read(texts, is_leaving):
+    """It may stand in any answer, whatever its status."""
+    headers = [("server-leaving", text) for text in texts]
+    for status in (200, 421, 500, 503):
+        facts = PlatformWire().read_answer(Head(status, headers))
+        assert facts.is_leaving is is_leaving
--- a/siskinthread/target_limits/__init__.py
+++ b/siskinthread/target_limits/__init__.py
@@ -10,6 +10,16 @@
 
 from siskinthread.target_limits._register import TargetLimits
 from siskinthread.target_limits._settings import TargetLimitSettings
-from siskinthread.target_limits._statement import LimitStatement, StatedLimit
+from siskinthread.target_limits._statement import (
+    LimitStatement,
+    StatedLimit,
+    StatedRest,
+)
 
-__all__ = ["LimitStatement", "StatedLimit", "TargetLimitSettings", "TargetLimits"]
+__all__ = [
+    "LimitStatement",
+    "StatedLimit",
+    "StatedRest",
+    "TargetLimitSettings",
+    "TargetLimits",
+]
--- a/siskinthread/target_limits/_statement.py
+++ b/siskinthread/target_limits/_statement.py
@@ -20,6 +20,24 @@
         self.unreadable = unreadable
 
 
+class StatedRest:
+    """For how long a target wants no request from the entry that it answers.
+
+    Parameters
+    ----------
+    wait_s : float
+        That time from the answer on, seconds; 0 if it asks for none.
+    unreadable : str or None
+        What stood in the place of one time, if that is not one.
+    """
+
+    __slots__ = ("unreadable", "wait_s")
+
+    def __init__(self, wait_s=0.0, unreadable=None):
+        self.wait_s = wait_s
+        self.unreadable = unreadable
+
+
 class LimitStatement:
     """What an entry tells others of the limit of a target.
 
