Tests that fail: servers that ask for rest, or say that they leave, get requests

Symptom: a server answers 503 with Retry-After and gets request after request from the entry that it asked; one that says in its answers that it leaves goes on getting requests.

--- /dev/null
+++ b/siskinthread/platform/tests/load.py
@@ -0,0 +1,55 @@
+"""Requests at a steady rate, to some entries of a fleet in turn."""
+
+import itertools
+import time
+
+import curio
+
+from siskinthread.platform.tests.system import SAFE_PATH, status_of
+from standins.platform_rests import request_body
+
+
+class Load:
+    """Requests at a steady rate, and what became of them.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Its entries.
+    asked_per_s : float
+        Requests a second.
+
+    Attributes
+    ----------
+    statuses, responses, sent_at_s, took_s : list
+        Of each request, in the order of the answers; times are monotonic seconds.
+    """
+
+    def __init__(self, fleet, asked_per_s):
+        self._fleet = fleet
+        self._asked_per_s = asked_per_s
+        self.statuses = []
+        self.responses = []
+        self.sent_at_s = []
+        self.took_s = []
+
+    async def run(self, entries, for_s):
+        """Send requests to some entries in turn."""
+        async with curio.TaskGroup(wait=all) as group:
+            turns = itertools.cycle(entries)
+            for _ in range(round(for_s * self._asked_per_s)):
+                await group.spawn(self._send, next(turns))
+                await curio.sleep(1 / self._asked_per_s)
+
+    def served_share(self):
+        """Return the part of the requests that was served."""
+        return self.statuses.count(200) / len(self.statuses)
+
+    async def _send(self, entry):
+        name = f"entry-{self._fleet.entries.index(entry)}"
+        sent_at_s = time.monotonic()
+        response = await entry.request(SAFE_PATH, request_body(name))
+        self.statuses.append(status_of(response))
+        self.responses.append(response)
+        self.sent_at_s.append(sent_at_s)
+        self.took_s.append(time.monotonic() - sent_at_s)
--- a/siskinthread/platform/tests/test_target_limits.py
+++ b/siskinthread/platform/tests/test_target_limits.py
@@ -1,12 +1,10 @@
 """Servers in need that name the rate of requests that they take from all entries."""
 
-import itertools
-
-import curio
 import pytest
 
 from siskinthread.platform.tests.fleet import run_fleet
-from siskinthread.platform.tests.system import SAFE_PATH, status_of
+from siskinthread.platform.tests.load import Load
+from siskinthread.platform.tests.system import status_of
 from standins.platform_limits import LimitedService
 
 # What the users' platform allows beside a limit, in any window, once the limit has
@@ -22,28 +20,6 @@
     return 1.5 * limit_per_s * WINDOW_S + 5
 
 
-class Load:
-    """Requests at a steady rate, and what became of them."""
-
-    def __init__(self, fleet):
-        self._fleet = fleet
-        self.statuses = []
-        self.responses = []
-
-    async def run(self, entries, for_s=LOAD_S):
-        """Send requests to some entries in turn."""
-        async with curio.TaskGroup(wait=all) as group:
-            turns = itertools.cycle(entries)
-            for _ in range(round(for_s * ASKED_PER_S)):
-                await group.spawn(self._send, next(turns))
-                await curio.sleep(1 / ASKED_PER_S)
-
-    async def _send(self, entry):
-        response = await entry.request(SAFE_PATH, b"report")
-        self.statuses.append(status_of(response))
-        self.responses.append(response)
-
-
 def limit_servers(fleet, limits):
     """Let each server name its limit; return its behaviour."""
     services = [LimitedService(limit) for limit in limits]
@@ -71,8 +47,8 @@
 
     async def test(fleet):
         services = limit_servers(fleet, limits)
-        load = Load(fleet)
-        await load.run(fleet.entries[:entry_count])
+        load = Load(fleet, ASKED_PER_S)
+        await load.run(fleet.entries[:entry_count], LOAD_S)
         return services, load
 
     services, load = run_fleet(test, entry_count=4, server_count=4)
@@ -102,7 +78,7 @@
 
     async def test(fleet):
         services = limit_servers(fleet, ("0", "3", "3", "3"))
-        load = Load(fleet)
+        load = Load(fleet, ASKED_PER_S)
         await load.run(fleet.entries, for_s=3.0)
         for service in services:
             service.limit = None
--- /dev/null
+++ b/siskinthread/platform/tests/test_target_rests.py
@@ -0,0 +1,104 @@
+"""Servers that ask an entry for rest, or say in their answers that they leave."""
+
+import pytest
+
+from siskinthread.platform.tests.fleet import run_fleet
+from siskinthread.platform.tests.load import Load
+from siskinthread.platform.tests.system import status_of
+from standins.platform_behaviours import answer_whole
+from standins.platform_rests import LeavingService, RestingService
+
+# Requests of one entry that a server may get within a rest that it has asked it for.
+ALLOWED_COUNT = 2
+# A refusal that waits for nothing takes less.
+AT_ONCE_S = 0.2
+ASKED_PER_S = 40
+DRAIN_S = 2.0
+
+
+def run_load(services, entry_count, load_s):
+    """Run a load on entries before four servers; return the `Load`.
+
+    Parameters
+    ----------
+    services : list
+        Behaviour of the first servers; the others serve.
+    entry_count : int
+        Entries.
+    load_s : float
+        Length of the load, seconds.
+    """
+
+    async def test(fleet):
+        default = [answer_whole] * (len(fleet.servers) - len(services))
+        for server, service in zip(fleet.servers, services + default, strict=True):
+            server.serve_by(service)
+        load = Load(fleet, ASKED_PER_S)
+        await load.run(fleet.entries, load_s)
+        return load
+
+    return run_fleet(test, entry_count=entry_count, server_count=4)
+
+
+@pytest.mark.parametrize(
+    "says_not_run", [True, False], ids=["declined", "may have run"]
+)
+@pytest.mark.parametrize("entry_count", [1, 4])
+def test_server_that_asks_for_rest_gets_it(entry_count, says_not_run):
+    """A server had asked an entry for 3 s of rest and got 14 requests from it."""
+    service = RestingService("3", says_not_run=says_not_run)
+    load = run_load([service], entry_count, load_s=4.5)
+    assert service.asked_count >= entry_count
+    assert service.most_in_a_rest() <= ALLOWED_COUNT
+    if says_not_run:
+        assert load.served_share() >= 0.99
+
+
+def test_rest_lasts_though_the_server_would_serve():
+    """A server that had asked for rest in its first 0.6 s got 7 requests in it."""
+    service = RestingService("3", asks_s=0.6)
+    load = run_load([service], entry_count=4, load_s=4.5)
+    assert service.most_in_a_rest() <= ALLOWED_COUNT
+    assert load.served_share() >= 0.99
+
+
+def test_callers_are_refused_at_once_while_all_servers_rest():
+    """Servers that all rest got 8 requests of one entry; callers must be told when."""
+    services = [RestingService("2", asks_s=0.6) for _ in range(4)]
+    load = run_load(services, entry_count=4, load_s=4.0)
+    assert max(service.most_in_a_rest() for service in services) <= ALLOWED_COUNT
+    refused = [
+        (response, took_s)
+        for response, took_s in zip(load.responses, load.took_s, strict=True)
+        if status_of(response) == 503
+    ]
+    assert all(b"retry-after: " in response.lower() for response, _ in refused)
+    assert max(took_s for _, took_s in refused) <= AT_ONCE_S
+    # The last rest began within 0.6 s of the load's begin, and lasts 2 s.
+    begun_at_s = min(load.sent_at_s)
+    late = [
+        status
+        for status, sent_at_s in zip(load.statuses, load.sent_at_s, strict=True)
+        if sent_at_s - begun_at_s > 0.6 + 2 + 0.5
+    ]
+    assert set(late) == {200}
+
+
+def test_servers_that_rest_again_and_again_cost_callers_nothing():
+    """163 of 400 requests were refused though two of four servers were free."""
+    services = [RestingService("0.8") for _ in range(2)]
+    load = run_load(services, entry_count=4, load_s=5.0)
+    assert max(service.most_in_a_rest() for service in services) <= ALLOWED_COUNT
+    assert load.served_share() >= 0.97
+
+
+@pytest.mark.parametrize("entry_count", [1, 4])
+def test_server_that_says_it_leaves_gets_no_more_requests(entry_count):
+    """A server got 58 requests that were sent 2 s after it had said that it leaves.
+
+    Its entry in the list of targets still has it as ready.
+    """
+    service = LeavingService(serves_s=0.5)
+    load = run_load([service], entry_count, load_s=4.0)
+    assert service.late_arrivals(DRAIN_S) == []
+    assert load.served_share() == 1.0
