Leave targets alone for as long as they ask this entry to

What callers saw: seconds in which a third of the requests were refused, most of them after two tries at servers that had said when they want work again, while others were free. Cause: an answer's Retry-After was read by nobody. A target that turns requests away within a millisecond has none in hand, so that it looked idle and was chosen before those that work. Class: what a target says of itself is lost with the try. Ruled out: choices made before the answer (arrivals followed it by seconds), a rest lost by a read of the list (none was known, and no read lay between). Change: rests are kept by instance and by their latest end; resting targets are not chosen, also where all others fail; a request that was chosen before and not yet written is withheld, which costs no try and no budget; what all targets want rest from is refused at once with the first end, spread from there on; after a rest one request finds out whether it is over, each answer opens two places, and requests that can go nowhere else are not used for it. An answer with 421 is another server's, whose statements don't count any more for the expected one. Why it holds: a rest is a deadline that nothing but its instance's end takes away.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -28,11 +28,17 @@
     LOST = "lost"
     # The stream was left within its answer, to go on at another target.
     LEFT = "left"
+    # Not sent: since the choice the target came to rest.
+    WITHHELD = "withheld"
 
     @property
     def is_not_run(self):
         """Whether the request certainly did not run at the target."""
-        return self in (AttemptResult.UNREACHABLE, AttemptResult.DECLINED)
+        return self in (
+            AttemptResult.UNREACHABLE,
+            AttemptResult.DECLINED,
+            AttemptResult.WITHHELD,
+        )
 
 
 class WholeAnswer:
@@ -189,6 +195,10 @@
             self.entry, request.kind.is_repeatable, request.deadline
         )
         self.rested_s = connection.rested_s
+        if not self._may_be_sent():
+            self.reason = "the target wants no more requests since it was chosen"
+            self.result = AttemptResult.WITHHELD
+            return
         sent_at_s = parts.clock.monotonic_s()
         headers = parts.wire.target_headers(
             request, self.entry, self._reply.last_event_id
@@ -205,11 +215,8 @@
         self._has_head = True
         self.is_success = head.status in SUCCESS_STATUSES
         facts = parts.wire.read_answer(head)
-        self.rest_asked_s = facts.stated_rest.wait_s
-        self.says_leaving = facts.is_leaving
-        if facts.load is not None:
-            parts.loads.report(self.entry.instance_id, facts.load)
-        parts.limits.note_answer(self.entry, sent_at_s, facts.stated_limit)
+        if not facts.is_other_instance:
+            self._note_statements(facts, sent_at_s)
         if facts.not_run:
             await self._take_decline(facts)
         elif _is_event_stream(head):
@@ -220,6 +227,25 @@
             self._connection = None
             await self._keep(connection, facts)
 
+    def _may_be_sent(self):
+        """Return whether the target still takes the request.
+
+        Opening a connection takes time, in which answers to other requests come.
+        """
+        return not self._parts.rests.is_resting(self.entry.instance_id)
+
+    def _note_statements(self, facts, sent_at_s):
+        """Take what the target says of itself."""
+        parts = self._parts
+        self.rest_asked_s = facts.stated_rest.wait_s
+        self.says_leaving = facts.is_leaving
+        if facts.load is not None:
+            parts.loads.report(self.entry.instance_id, facts.load)
+        parts.limits.note_answer(self.entry, sent_at_s, facts.stated_limit)
+        parts.rests.note_answer(self.entry, sent_at_s, facts.stated_rest)
+        if self.rest_asked_s > 0:
+            parts.measures.rest_asked(self.entry.service_name)
+
     def _is_awaited(self, head):
         facts = self._parts.wire.read_answer(head)
         return facts.request_id == self._request.request_id
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -17,7 +17,8 @@
 # a service with none that can be reached must still get an answer soon.
 UNREACHABLE_LIMIT = 3
 # Results that do not show a target to fail.
-NOT_TO_BLAME = (AttemptResult.DECLINED, AttemptResult.LEFT)
+NOT_SENT = (AttemptResult.UNREACHABLE, AttemptResult.WITHHELD)
+NOT_TO_BLAME = (AttemptResult.DECLINED, AttemptResult.LEFT, AttemptResult.WITHHELD)
 
 
 class Forwarding:
@@ -85,6 +86,7 @@
             )
             self._attempts.append(attempt)
             self._parts.limits.note_sent(chosen.instance_id)
+            self._parts.rests.note_sent(chosen.instance_id)
             await attempt.run()
             self._note(attempt)
             await self._note_for_others(attempt)
@@ -186,7 +188,7 @@
         instance_id = attempt.entry.instance_id
         is_late = self._request.deadline.passed()
         self._tried_ids.add(instance_id)
-        if attempt.result is not AttemptResult.UNREACHABLE:
+        if attempt.result not in NOT_SENT:
             self._sent_count += 1
         self._parts.measures.attempt_ended(attempt.result)
         if attempt.is_group_fault:
@@ -202,6 +204,8 @@
         """Return whether the request may be sent to another target."""
         if self._request.deadline.passed():
             return False
+        if attempt.result is AttemptResult.WITHHELD:
+            return True
         if attempt.result is AttemptResult.UNREACHABLE:
             unreachable = [one for one in self._attempts if not one.written]
             return len(unreachable) <= UNREACHABLE_LIMIT
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -117,6 +117,10 @@
             "gateway_limited_targets", "Targets that have named a limit."
         )
         limited.set_function(self.parts.limits.limited_count)
+        resting = metrics.gauge(
+            "gateway_resting_targets", "Targets that want no request from this entry."
+        )
+        resting.set_function(self.parts.rests.resting_count)
         self.control_home = ControlHome(
             settings,
             failure_domain,
@@ -288,6 +292,7 @@
         while True:
             await curio.sleep(self._settings.upkeep_interval_s)
             self.parts.accounts.sample()
+            self.parts.rests.drop_over()
             entries = self.parts.targets.entries()
             serving = {one.instance_id for one in entries if not one.is_leaving}
             await self.parts.pool.sweep(serving)
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -10,7 +10,7 @@
 from siskinthread.gateway._target_pool import TargetPool
 from siskinthread.poison_requests import PoisonRegister
 from siskinthread.retry_budget import FleetPart, ServiceRetryBudgets
-from siskinthread.target_limits import TargetLimits
+from siskinthread.target_limits import TargetLimits, TargetRests
 
 
 class Measures:
@@ -22,7 +22,7 @@
         The registry.
     """
 
-    __slots__ = ("_attempts", "_requests", "_seconds")
+    __slots__ = ("_attempts", "_requests", "_rests", "_seconds")
 
     def __init__(self, metrics):
         self._requests = metrics.counter(
@@ -33,6 +33,11 @@
         self._attempts = metrics.counter(
             "gateway_attempts", "Attempts at targets by result.", ("result",)
         )
+        self._rests = metrics.counter(
+            "gateway_rests_asked",
+            "Answers that asked for rest, by service.",
+            ("service",),
+        )
         self._seconds = metrics.histogram(
             "gateway_request_seconds",
             "Time from the head of a request to the end of its answer, by route.",
@@ -43,6 +48,10 @@
         """Count an attempt by its `AttemptResult`."""
         self._attempts.labels(result.value).inc()
 
+    def rest_asked(self, service_name):
+        """Count an answer that asked for rest."""
+        self._rests.labels(service_name).inc()
+
     def request_ended(self, route_name, status, outcome, took_s):
         """Count a request."""
         self._requests.labels(route_name, str(status), outcome.label).inc()
@@ -81,6 +90,7 @@
         "pool",
         "progress",
         "random",
+        "rests",
         "retry_part",
         "settings",
         "slow_targets",
@@ -105,6 +115,7 @@
         self.slow_targets = SlowTargets(settings, clock)
         self.poison = PoisonRegister(settings.poison, clock)
         self.limits = TargetLimits(settings.limits, clock, random)
+        self.rests = TargetRests(settings.rests, clock, random)
         self.targets.listen(self._forget)
         self.choice = TargetChoice(
             settings,
@@ -116,6 +127,7 @@
             self.accounts,
             self.slow_targets,
             self.limits,
+            self.rests,
             random,
         )
 
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -2,7 +2,7 @@
 
 from siskinthread.poison_requests import PoisonSettings
 from siskinthread.settings import Item, Section
-from siskinthread.target_limits import TargetLimitSettings
+from siskinthread.target_limits import TargetLimitSettings, TargetRestSettings
 
 
 class GatewaySettings(Section):
@@ -414,6 +414,10 @@
         TargetLimitSettings,
         description="Rates that targets in need name, and how they are shared.",
     )
+    rests = Item(
+        TargetRestSettings,
+        description="Return to targets that have asked this entry for rest.",
+    )
     poison = Item(
         PoisonSettings,
         description="Requests under which targets end, and their limits.",
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -26,6 +26,8 @@
         Which targets hold others back.
     limits : siskinthread.target_limits.TargetLimits
         Which targets take a limited rate of requests.
+    rests : siskinthread.target_limits.TargetRests
+        Which targets want no request from this entry.
     random : random.Random
         Breaks ties.
 
@@ -52,6 +54,7 @@
         "_loads",
         "_progress",
         "_random",
+        "_rests",
         "_settings",
         "_slow_targets",
         "_targets",
@@ -69,10 +72,12 @@
         accounts,
         slow_targets,
         limits,
+        rests,
         random,
     ):
         self._slow_targets = slow_targets
         self._limits = limits
+        self._rests = rests
         self._settings = settings
         self._failure_domain = failure_domain
         self._targets = targets
@@ -101,9 +106,13 @@
         fresh = [entry for entry in serving if entry.instance_id not in tried_ids]
         if not fresh:
             return self._refusal(Reason.NO_TARGET, request, "No target can take it.")
-        admitted = self._limits.admitted(fresh, request.service_name, request.priority)
+        may_try = request.route.attempt_limit > len(tried_ids) + 1
+        rested = self._rests.admitted(fresh, may_try)
+        if not rested:
+            return self._refusal_for_rests(request, fresh)
+        admitted = self._limits.admitted(rested, request.service_name, request.priority)
         if not admitted:
-            return self._refusal_for_limits(request, fresh)
+            return self._refusal_for_limits(request, rested)
         trusted = self._trusted(admitted)
         tried_groups = {self.group_of(one) for one in tried_ids} - {None}
         # What has just failed in one rank of a group fails in all of them.
@@ -290,6 +299,22 @@
             ),
         )
 
+    def _refusal_for_rests(self, request, resting):
+        """Return the refusal of a request whose targets all want rest."""
+        service_name = request.service_name
+        described = self._rests.describe(resting[0].instance_id)
+        return End(
+            Outcome.REFUSED_NOT_RUN,
+            Reason.OVERLOADED,
+            message=f"All {len(resting)} targets that could take it want rest: "
+            f"{described}.",
+            retry_after_s=self._rests.come_back_after_s(
+                resting,
+                self._limits.own_asked_per_s(service_name),
+                request.deadline.left_s() * self._settings.return_limit_share,
+            ),
+        )
+
     def _refusal(self, reason, request, message):
         return End(
             Outcome.REFUSED_NOT_RUN,
--- a/siskinthread/target_limits/_register.py
+++ b/siskinthread/target_limits/_register.py
@@ -125,6 +125,10 @@
         rates = {name: self._asked.rate_per_s(name) for name in services}
         return {name: round(rate, 2) for name, rate in rates.items() if rate >= 0.01}
 
+    def own_asked_per_s(self, service_name):
+        """Return the requests a second that callers ask this entry for."""
+        return self._asked.rate_per_s(service_name)
+
     def note_asked(self, service_name, priority):
         """Count a request of a caller, and what it entitles this entry to."""
         self._asked.note(service_name)
--- a/siskinthread/target_limits/_settings.py
+++ b/siskinthread/target_limits/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the limits that targets name."""
+"""Settings of the limits that targets name, and of the rests that they ask for."""
 
 from siskinthread.settings import Item, Section
 
@@ -121,3 +121,35 @@
         description="Limits that a datagram tells of, the newest first; 2 KB of its "
         "8 KB.",
     )
+
+
+class TargetRestSettings(Section):
+    """How an entry comes back to a target that has asked it for rest."""
+
+    try_wait_s = Item(
+        float,
+        default=1.0,
+        minimum=0.01,
+        description="Time after a request to a target whose rest is over, without an "
+        "answer, until it gets another one.",
+    )
+    spread_s = Item(
+        float,
+        default=0.5,
+        minimum=0.0,
+        description="Least time behind the end of a rest over which refused callers "
+        "are spread when more come back than there are places.",
+    )
+    return_memory_s = Item(
+        float,
+        default=10.0,
+        minimum=0.1,
+        description="Time after the end of a rest from which on a target that has got "
+        "no request counts as any other one.",
+    )
+    targets_limit = Item(
+        int,
+        default=1024,
+        minimum=1,
+        description="Targets whose rests are remembered.",
+    )
