Send nothing new to targets that say in an answer that they leave

What callers would see: requests sent to a server that is about to exit, and lost with it. Cause: Server-Leaving was read by nobody; the list was the only word of a leaving. Besides, a leaving that was noted for a target which the list did not have at that moment was lost, and the ids of all targets that ever left were kept for good. Change: an answer that says so ends new requests to that instance from this entry, also one that was chosen already and is not yet written. Streams that it has go on.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -28,7 +28,7 @@
     LOST = "lost"
     # The stream was left within its answer, to go on at another target.
     LEFT = "left"
-    # Not sent: since the choice the target came to rest.
+    # Not sent: since the choice the target came to rest, or to leave.
     WITHHELD = "withheld"
 
     @property
@@ -232,7 +232,9 @@
 
         Opening a connection takes time, in which answers to other requests come.
         """
-        return not self._parts.rests.is_resting(self.entry.instance_id)
+        instance_id = self.entry.instance_id
+        is_resting = self._parts.rests.is_resting(instance_id)
+        return not is_resting and not self._parts.targets.has_left(instance_id)
 
     def _note_statements(self, facts, sent_at_s):
         """Take what the target says of itself."""
@@ -245,6 +247,8 @@
         parts.rests.note_answer(self.entry, sent_at_s, facts.stated_rest)
         if self.rest_asked_s > 0:
             parts.measures.rest_asked(self.entry.service_name)
+        if facts.is_leaving:
+            parts.targets.note_leaving(self.entry.instance_id, "its answer")
 
     def _is_awaited(self, head):
         facts = self._parts.wire.read_answer(head)
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -107,8 +107,9 @@
         self._listed = {}
         # Ids of entries that vanished, and still count until the grace ends.
         self._lapsed = set()
-        # Ids that announced their leaving; a late report must not bring them back.
-        self._left = set()
+        # Ids that announced their leaving, the latest last; a late report, or a peer
+        # that has not heard of it, must not bring them back.
+        self._left = OrderedDict()
         # Instances whose targets have started anew; a late report of an earlier start
         # must not displace the later one.
         self._replaced = set()
@@ -149,7 +150,7 @@
         if entry.instance_id in self._left:
             return
         if entry.is_leaving:
-            self._left.add(entry.instance_id)
+            self._note_left(entry.instance_id)
         self._gone.pop(entry.instance_id, None)
         self._entries[entry.instance_id] = entry
         self._listed[entry.listed_id] = entry.instance_id
@@ -237,13 +238,14 @@
         told_by : str
             What said so, for the log.
         """
-        entry = self._entries.get(instance_id)
-        if entry is None or entry.is_leaving:
+        if instance_id in self._left:
             return
-        entry.is_leaving = True
-        self._left.add(instance_id)
+        self._note_left(instance_id)
         _logger.event("target leaves", target=instance_id, told_by=told_by)
-        self._tell(entry)
+        entry = self._entries.get(instance_id)
+        if entry is not None:
+            entry.is_leaving = True
+            self._tell(entry)
 
     def expire_lapsed(self):
         """Remove lapsed entries that did not come back in time."""
@@ -261,6 +263,10 @@
             if entry.service_name == service_name and not entry.is_leaving
         ]
 
+    def has_left(self, instance_id):
+        """Return whether a target has said that it leaves."""
+        return instance_id in self._left
+
     def is_serving(self, instance_id):
         """Return whether a target is listed and has not said that it leaves."""
         entry = self._entries.get(instance_id)
@@ -270,6 +276,11 @@
         """Return all entries."""
         return list(self._entries.values())
 
+    def _note_left(self, instance_id):
+        self._left[instance_id] = None
+        while len(self._left) > GONE_LIMIT:
+            self._left.popitem(last=False)
+
     def _note_restart(self, entry):
         """Remove the instance that an entry's target was before it started anew."""
         earlier_id = self._listed.get(entry.listed_id, entry.instance_id)
--- a/siskinthread/gateway/tests/test_target_list.py
+++ b/siskinthread/gateway/tests/test_target_list.py
@@ -4,7 +4,7 @@
 
 from siskinthread.gateway._parts import GatewayParts
 from siskinthread.gateway._request import LoadReport
-from siskinthread.gateway._target_list import TargetList
+from siskinthread.gateway._target_list import GONE_LIMIT, TargetList
 from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
 from siskinthread.observability import Metrics
 
@@ -111,6 +111,36 @@
     assert ids(targets.serving("app")) == ["i-2"]
 
 
+def test_target_that_said_it_leaves_is_not_brought_back_by_a_list():
+    """A list, or a peer that kept the target by grace, had it as ready still."""
+    targets, _ = build()
+    targets.note_leaving("i-1", "its answer")
+    targets.put(entry("i-1"))
+    targets.replace([entry("i-1"), entry("i-2")], is_sure=True)
+    assert ids(targets.serving("app")) == ["i-2"]
+    targets.vanish("i-1")
+    targets.replace_by_older([entry("i-1"), entry("i-2")])
+    assert ids(targets.serving("app")) == ["i-2"]
+
+
+def test_target_that_said_it_leaves_while_it_was_not_listed_stays_away():
+    """The answer of a stream came after the target had vanished from the list."""
+    targets, _ = build()
+    targets.vanish("i-1")
+    targets.note_leaving("i-1", "its answer")
+    targets.put(entry("i-1"))
+    assert ids(targets.serving("app")) == ["i-2"]
+
+
+def test_leaving_is_remembered_of_a_bounded_number_of_targets():
+    """A process of months kept the id of each target that had ever left."""
+    targets, _ = build()
+    for number in range(3 * GONE_LIMIT):
+        targets.note_leaving(f"i-{number + 10}", "its answer")
+    assert len(targets._left) == GONE_LIMIT
+    assert targets.has_left(f"i-{3 * GONE_LIMIT + 9}")
+
+
 def test_what_is_known_of_a_target_ends_with_its_start():
     """Symptom: a server that has just started is passed over.
 
