Prefer other targets to those that decline with free slots, and tell peers of rests

Cause: a target that declines has none of its requests in hand, looks idle to every entry, and each entry found out by itself, at the cost of a try and of the budget of repeats. Change: a target that declines though it states no full load is chosen only if no other one can take the request, for 0.2 s, doubled with each decline up to 1.6 s; an answer ends it. Entries tell one another of the rests that they were asked for; a peer's word is a preference, not a bar, and holds 0.3 s longer, so that the one that was asked tries first. One choice covers both.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -103,6 +103,8 @@
         closed it for its age, and is not to be blamed.
     is_group_fault : bool
         Whether another rank of the target's group is what failed.
+    has_free_slots : bool
+        Whether the target, as its answer says, has slots that are free.
     rest_asked_s : float
         For how long the target wants no more requests, seconds.
     says_leaving : bool
@@ -118,6 +120,7 @@
         "_should_leave",
         "answer",
         "entry",
+        "has_free_slots",
         "has_target_ended",
         "is_broken_off",
         "is_group_fault",
@@ -150,6 +153,7 @@
         self.is_success = False
         self.is_group_fault = False
         self.is_stale = False
+        self.has_free_slots = True
         self.rest_asked_s = 0.0
         self.says_leaving = False
         self.load_when_chosen = parts.loads.total(entry.instance_id)
@@ -242,6 +246,7 @@
         self.rest_asked_s = facts.stated_rest.wait_s
         self.says_leaving = facts.is_leaving
         if facts.load is not None:
+            self.has_free_slots = facts.load.running < facts.load.slot_count
             parts.loads.report(self.entry.instance_id, facts.load)
         parts.limits.note_answer(self.entry, sent_at_s, facts.stated_limit)
         parts.rests.note_answer(self.entry, sent_at_s, facts.stated_rest)
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -193,8 +193,12 @@
         self._parts.measures.attempt_ended(attempt.result)
         if attempt.is_group_fault:
             self._parts.health.group_failed(self._parts.choice.group_of(instance_id))
+        elif attempt.result is AttemptResult.DECLINED and attempt.has_free_slots:
+            # One that is full counts as full by its load, until a slot is free.
+            self._parts.avoided.declined(instance_id)
         if attempt.result is AttemptResult.ANSWERED:
             self._parts.health.succeeded(instance_id)
+            self._parts.avoided.answered(instance_id)
         elif attempt.result in NOT_TO_BLAME or attempt.is_stale or is_late:
             return
         else:
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -150,6 +150,7 @@
         peers.take_listing = self._target_follower.hear
         peers.poison = self.parts.poison
         peers.limits = self.parts.limits
+        peers.take_rests = self.parts.avoided.hear
         self.parts.limits.peers = peers
         self._target_follower.peers = peers
         self._table_follower.peers = peers
@@ -285,6 +286,7 @@
             slow_targets=self.parts.slow_targets.own_ids(),
             limits=self.parts.limits.statements(),
             asked_rates=self.parts.limits.asked_rates(),
+            rests=self.parts.rests.statements(),
         )
 
     async def _keep_up(self):
@@ -293,6 +295,7 @@
             await curio.sleep(self._settings.upkeep_interval_s)
             self.parts.accounts.sample()
             self.parts.rests.drop_over()
+            self.parts.avoided.drop_over()
             entries = self.parts.targets.entries()
             serving = {one.instance_id for one in entries if not one.is_leaving}
             await self.parts.pool.sweep(serving)
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -1,6 +1,7 @@
 """What all requests of one gateway share."""
 
 from siskinthread.gateway._account_shares import AccountShares
+from siskinthread.gateway._avoided_targets import AvoidedTargets
 from siskinthread.gateway._group_progress import GroupProgress
 from siskinthread.gateway._slow_targets import SlowTargets
 from siskinthread.gateway._target_choice import TargetChoice
@@ -79,6 +80,7 @@
 
     __slots__ = (
         "accounts",
+        "avoided",
         "budgets",
         "choice",
         "clock",
@@ -116,6 +118,7 @@
         self.poison = PoisonRegister(settings.poison, clock)
         self.limits = TargetLimits(settings.limits, clock, random)
         self.rests = TargetRests(settings.rests, clock, random)
+        self.avoided = AvoidedTargets(settings, clock)
         self.targets.listen(self._forget)
         self.choice = TargetChoice(
             settings,
@@ -128,6 +131,7 @@
             self.slow_targets,
             self.limits,
             self.rests,
+            self.avoided,
             random,
         )
 
@@ -136,3 +140,4 @@
         self.health.forget(entry.instance_id)
         self.loads.forget(entry.instance_id)
         self.limits.forget(entry.instance_id)
+        self.avoided.forget(entry.instance_id)
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -306,6 +306,25 @@
         description="Longest time that a failing target is passed over; the length of "
         "the common short outages.",
     )
+    avoided_s = Item(
+        float,
+        default=0.2,
+        minimum=0.0,
+        description="Time for which a target that has declined a request gets one only "
+        "if no other target can take it; it doubles with each further decline.",
+    )
+    avoided_limit_s = Item(
+        float,
+        default=1.6,
+        minimum=0.0,
+        description="Longest such time.",
+    )
+    avoided_memory_s = Item(
+        float,
+        default=5.0,
+        minimum=0.0,
+        description="Time after which a decline counts no more for the next one.",
+    )
     stall_limit_s = Item(
         float,
         default=0.5,
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -28,6 +28,8 @@
         Which targets take a limited rate of requests.
     rests : siskinthread.target_limits.TargetRests
         Which targets want no request from this entry.
+    avoided : AvoidedTargets
+        Which targets get a request only if no other one can take it.
     random : random.Random
         Breaks ties.
 
@@ -48,6 +50,7 @@
 
     __slots__ = (
         "_accounts",
+        "_avoided",
         "_failure_domain",
         "_health",
         "_limits",
@@ -73,8 +76,10 @@
         slow_targets,
         limits,
         rests,
+        avoided,
         random,
     ):
+        self._avoided = avoided
         self._slow_targets = slow_targets
         self._limits = limits
         self._rests = rests
@@ -130,6 +135,26 @@
         if not candidates:
             message = f"All {len(serving)} targets fail or decline requests."
             return self._refusal(Reason.NO_TARGET, request, message)
+        preferred = self._avoided.without(candidates)
+        if not preferred:
+            return self._choose_by_load(request, candidates, serving)
+        chosen = self._choose_by_load(request, preferred, serving)
+        if isinstance(chosen, End) and len(preferred) < len(candidates):
+            return self._choose_by_load(request, candidates, serving)
+        return chosen
+
+    def _choose_by_load(self, request, candidates, serving):
+        """Return one of some targets for a request, or why all are too loaded.
+
+        Parameters
+        ----------
+        request : GatewayRequest
+            The request.
+        candidates : list of TargetEntry
+            The targets.
+        serving : list of TargetEntry
+            All targets of their service.
+        """
         if self._loads.are_peers_crowded():
             chosen = self._choose_in_crowd(candidates)
         else:
--- /dev/null
+++ b/siskinthread/gateway/tests/test_avoided_targets.py
@@ -0,0 +1,68 @@
+"""Targets that get a request only if no other one can take it."""
+
+import pytest
+
+from siskinthread.gateway._avoided_targets import AvoidedTargets
+from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
+from siskinthread.target_limits import RestStatement
+
+STEP_S = 0.01
+ENTRIES = [entry("i-1"), entry("i-2")]
+
+
+def build():
+    """Return what is avoided, and its clock."""
+    now = clock()
+    return AvoidedTargets(SETTINGS, now), now
+
+
+def avoided_s(avoided, now):
+    """Return how long the first target is avoided from now on."""
+    waited_s = 0.0
+    while "i-1" not in ids(avoided.without(ENTRIES)):
+        now.advance(STEP_S)
+        waited_s += STEP_S
+    return waited_s
+
+
+def test_target_that_declines_again_is_avoided_for_longer():
+    """A target that declined at once got each next request, as it looked idle."""
+    avoided, now = build()
+    waits_s = []
+    for _ in range(5):
+        avoided.declined("i-1")
+        waits_s.append(avoided_s(avoided, now))
+    assert waits_s == pytest.approx([0.2, 0.4, 0.8, 1.6, 1.6], abs=1.1 * STEP_S)
+
+
+def test_declines_of_requests_that_were_under_way_count_once():
+    """Five requests at a full target took it out for longer than one."""
+    avoided, now = build()
+    for _ in range(5):
+        avoided.declined("i-1")
+    assert avoided_s(avoided, now) == pytest.approx(0.2, abs=1.1 * STEP_S)
+
+
+def test_answer_ends_the_declines():
+    """A target that serves again is like any other one."""
+    avoided, _ = build()
+    avoided.declined("i-1")
+    avoided.answered("i-1")
+    assert avoided.without(ENTRIES) == ENTRIES
+
+
+def test_rest_that_a_peer_tells_of_is_awaited_with_a_margin():
+    """All entries tried a target at the end of a rest that one was asked for."""
+    avoided, now = build()
+    avoided.hear([RestStatement("i-1", 1.0)], "peer")
+    assert avoided_s(avoided, now) == pytest.approx(1.3, abs=1.1 * STEP_S)
+
+
+def test_what_is_avoided_is_forgotten():
+    """Targets of months ago take no memory."""
+    avoided, now = build()
+    avoided.declined("i-1")
+    avoided.hear([RestStatement("i-2", 1.0)], "peer")
+    now.advance(SETTINGS.avoided_memory_s + 1.0)
+    avoided.drop_over()
+    assert (avoided._declines, avoided._told) == ({}, {})
--- a/siskinthread/gateway/tests/test_target_choice.py
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -5,6 +5,7 @@
 import pytest
 
 from siskinthread.gateway._account_shares import AccountShares
+from siskinthread.gateway._avoided_targets import AvoidedTargets
 from siskinthread.gateway._group_progress import GroupProgress
 from siskinthread.gateway._request import GatewayRequest, LoadReport, RequestFacts
 from siskinthread.gateway._slow_targets import SlowTargets
@@ -72,6 +73,7 @@
         self.slow_targets = SlowTargets(SETTINGS, self.clock)
         self.limits = TargetLimits(SETTINGS.limits, self.clock, random.Random(2))
         self.rests = TargetRests(SETTINGS.rests, self.clock, random.Random(2))
+        self.avoided = AvoidedTargets(SETTINGS, self.clock)
         self.choice = TargetChoice(
             SETTINGS,
             "a",
@@ -83,6 +85,7 @@
             self.slow_targets,
             self.limits,
             self.rests,
+            self.avoided,
             random.Random(1),
         )
 
@@ -379,3 +382,24 @@
     for _ in range(3):
         parts.loads.started("i-2")
     assert parts.choose(tried=["i-3"]) == "i-2"
+
+
+def test_target_that_has_declined_gets_a_request_only_if_the_others_are_full():
+    """A target that declines at once looks idle, and was chosen before others."""
+    declining, busy = entry("i-1"), entry("i-2")
+    parts = Parts(declining, busy)
+    parts.avoided.declined("i-1")
+    for _ in range(3):
+        parts.loads.started("i-2")
+    assert parts.choose() == "i-2"
+    for _ in range(3):
+        parts.loads.started("i-2")
+    assert parts.choose() == "i-1"
+
+
+def test_target_that_has_declined_goes_before_one_that_fails():
+    """A failing target may have run what it lost; one that declines has not."""
+    parts = Parts(entry("i-1"), entry("i-2"))
+    parts.avoided.declined("i-1")
+    parts.health.failed("i-2", "status 500")
+    assert parts.choose() == "i-1"
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -8,7 +8,7 @@
 from siskinthread.poison_requests import SuspectStatement
 from siskinthread.settings import Address
 from siskinthread.source_eras import Position
-from siskinthread.target_limits import LimitStatement
+from siskinthread.target_limits import LimitStatement, RestStatement
 
 MILLISECONDS_PER_SECOND = 1000
 # Addresses whose decoded form is kept; above the number of hosts of a large fleet.
@@ -66,6 +66,8 @@
         Limits that targets have named.
     asked_rates : dict of str to float
         Requests a second that callers ask it for, by service that has a limit.
+    rests : list of siskinthread.target_limits.RestStatement
+        Rests that targets have asked it for.
     """
 
     __slots__ = (
@@ -77,6 +79,7 @@
         "limits",
         "listing",
         "passes_s",
+        "rests",
         "slow_targets",
         "stalled_groups",
         "table_version",
@@ -95,7 +98,9 @@
         slow_targets=(),
         limits=(),
         asked_rates=None,
+        rests=(),
     ):
+        self.rests = list(rests)
         self.slow_targets = list(slow_targets)
         self.limits = list(limits)
         self.asked_rates = {} if asked_rates is None else asked_rates
@@ -133,6 +138,7 @@
             slow_targets=sorted({*self.slow_targets, *near.slow_targets}),
             limits=self.limits,
             asked_rates=asked_rates,
+            rests=self.rests,
         )
 
     def looks_like(self, other):
@@ -147,8 +153,12 @@
             and self.passes_s == other.passes_s
             and self.asked_rates == other.asked_rates
             and len(self.limits) == len(other.limits)
+            and self._resting_ids() == other._resting_ids()
         )
 
+    def _resting_ids(self):
+        return {rest.instance_id for rest in self.rests}
+
 
 def add_counts(sums, counts):
     """Add counts by name to sums by name."""
@@ -234,6 +244,11 @@
             document["limits"] = [_encode_limit(one) for one in limits]
         if state.asked_rates:
             document["asked"] = state.asked_rates
+        if state.rests:
+            document["rests_ms"] = {
+                one.instance_id: round(one.left_s * MILLISECONDS_PER_SECOND)
+                for one in state.rests
+            }
         if state.is_domain_sum:
             document["sum"] = True
         if state.account_counts:
@@ -268,6 +283,7 @@
                 [str(target) for target in document.get("slow", ())],
                 [_decode_limit(row) for row in document.get("limits", ())],
                 _decode_rates(document.get("asked", {})),
+                _decode_rests(document.get("rests_ms", {})),
             )
             return cls(
                 _parse_address(document["sender"]),
@@ -323,6 +339,13 @@
     )
 
 
+def _decode_rests(rests_ms):
+    return [
+        RestStatement(str(one), max(0, int(left_ms)) / MILLISECONDS_PER_SECOND)
+        for one, left_ms in rests_ms.items()
+    ]
+
+
 def _decode_rates(rates):
     return {str(name): _decode_rate(rate) for name, rate in rates.items()}
 
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -39,6 +39,8 @@
         each change at once, and of what still counts once a second.
     limits : siskinthread.target_limits.TargetLimits or None
         Takes what peers tell of the limits of targets.
+    take_rests : callable or None
+        Called with the list of `RestStatement` of a peer, and its address as text.
 
     Notes
     -----
@@ -58,6 +60,7 @@
         "limits",
         "poison",
         "take_listing",
+        "take_rests",
     )
 
     def __init__(self, settings, address, failure_domain, first_peers, clock, random):
@@ -68,6 +71,7 @@
         self._quiet_deadline = Deadline.after(clock, 0.0)
         self._far_deadline = Deadline.after(clock, 0.0)
         self.take_listing = None
+        self.take_rests = None
         self.poison = None
         self.limits = None
         # What the news that go out now tell of suspected requests, and what was told.
@@ -104,6 +108,8 @@
                 await self._pass_on(news.state.listing)
                 if self.limits is not None:
                     self.limits.hear(news.state.limits, str(news.sender))
+                if self.take_rests is not None:
+                    self.take_rests(news.state.rests, str(news.sender))
                 if self.poison is not None:
                     await self.poison.hear(news.suspects, str(news.sender))
             except ProtocolError as error:
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -23,7 +23,7 @@
 )
 from siskinthread.settings import Address
 from siskinthread.source_eras import Position
-from siskinthread.target_limits import LimitStatement
+from siskinthread.target_limits import LimitStatement, RestStatement
 from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
 SETTINGS = PeerNewsSettings(
@@ -402,6 +402,15 @@
     assert told.state.asked_rates == {"app": 12.5}
 
 
+def test_rests_of_targets_survive_the_way():
+    """A datagram tells for how long targets want no request from its sender."""
+    state = HostState(1, True, {}, rests=[RestStatement("i-1", 2.75)])
+    told = News.decode(News(Address("10.0.0.1", 1), "a", state, []).encode())
+    [rest] = told.state.rests
+    assert (rest.instance_id, rest.left_s) == ("i-1", 2.75)
+    assert not told.state.looks_like(HostState(1, True, {}))
+
+
 def test_news_that_would_not_fit_leave_limits_out():
     """Symptom: a host is silent for all others once many targets name a limit."""
     counts = {f"i-{number:010}": 1 for number in range(420)}
--- a/siskinthread/target_limits/__init__.py
+++ b/siskinthread/target_limits/__init__.py
@@ -17,12 +17,14 @@
 )
 from siskinthread.target_limits._statement import (
     LimitStatement,
+    RestStatement,
     StatedLimit,
     StatedRest,
 )
 
 __all__ = [
     "LimitStatement",
+    "RestStatement",
     "StatedLimit",
     "StatedRest",
     "TargetLimitSettings",
--- a/siskinthread/target_limits/_rests.py
+++ b/siskinthread/target_limits/_rests.py
@@ -2,6 +2,7 @@
 
 from siskinthread.observability import part_logger
 from siskinthread.target_limits._rest import Rest
+from siskinthread.target_limits._statement import RestStatement
 from siskinthread.timing import Deadline
 
 _logger = part_logger("target_limits")
@@ -134,6 +135,18 @@
             return f"{instance_id} has not answered since its rest"
         return f"{instance_id} wants no request for {rest.end.left_s():.2f} s"
 
+    def statements(self):
+        """Return what peers should be told, a bounded number of `RestStatement`.
+
+        The rests that end last go first.
+        """
+        resting = [rest for rest in self._rests.values() if not rest.end.passed()]
+        resting.sort(key=lambda rest: -rest.end.at_s)
+        return [
+            RestStatement(rest.instance_id, rest.end.left_s())
+            for rest in resting[: self._settings.told_limit]
+        ]
+
     def resting_count(self):
         """Return the number of targets that want no request now."""
         return sum(not rest.end.passed() for rest in self._rests.values())
--- a/siskinthread/target_limits/_settings.py
+++ b/siskinthread/target_limits/_settings.py
@@ -140,6 +140,14 @@
         description="Least time behind the end of a rest over which refused callers "
         "are spread when more come back than there are places.",
     )
+    told_margin_s = Item(
+        float,
+        default=0.3,
+        minimum=0.0,
+        description="Time after the end of a rest for which entries that a peer has "
+        "told of it still prefer other targets, so that the one that was asked tries "
+        "first.",
+    )
     return_memory_s = Item(
         float,
         default=10.0,
@@ -153,3 +161,9 @@
         minimum=1,
         description="Targets whose rests are remembered.",
     )
+    told_limit = Item(
+        int,
+        default=32,
+        minimum=1,
+        description="Rests that a datagram tells of, some 1 KB of its 8 KB.",
+    )
--- a/siskinthread/target_limits/_statement.py
+++ b/siskinthread/target_limits/_statement.py
@@ -60,3 +60,21 @@
         self.service_name = service_name
         self.rate_per_s = rate_per_s
         self.age_s = age_s
+
+
+class RestStatement:
+    """What an entry tells others of the rest that a target has asked it for.
+
+    Parameters
+    ----------
+    instance_id : str
+        The target.
+    left_s : float
+        Time until the end of the rest, seconds.
+    """
+
+    __slots__ = ("instance_id", "left_s")
+
+    def __init__(self, instance_id, left_s):
+        self.instance_id = instance_id
+        self.left_s = left_s
