Tell other entries of targets that say that they leave

Cause: only the entry that had the answer knew; each other one sent a request to the leaving target, or several, until the list or its own answer told it. Change: news name targets whose answers said so, for 10 s after the answer, with its age, and entries tell on what they heard; 32 at most, left out last when a datagram is full. An entry that hears it treats the target as one that leaves. Ruled out: to keep it to the entry that was told (the rule binds that one only): a request to a server that is about to exit may be lost, wherever it comes from. Test: one server tells one of four entries; no entry's request reaches it 0.5 s later, and all are served.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -253,7 +253,7 @@
         if self.rest_asked_s > 0:
             parts.measures.rest_asked(self.entry.service_name)
         if facts.is_leaving:
-            parts.targets.note_leaving(self.entry.instance_id, "its answer")
+            parts.targets.note_says_leaving(self.entry.instance_id)
 
     def _is_awaited(self, head):
         facts = self._parts.wire.read_answer(head)
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -151,6 +151,7 @@
         peers.poison = self.parts.poison
         peers.limits = self.parts.limits
         peers.take_rests = self.parts.avoided.hear
+        peers.take_leaving = self.parts.targets.hear_leaving
         self.parts.limits.peers = peers
         self._target_follower.peers = peers
         self._table_follower.peers = peers
@@ -287,6 +288,7 @@
             limits=self.parts.limits.statements(),
             asked_rates=self.parts.limits.asked_rates(),
             rests=self.parts.rests.statements(),
+            leaving=self.parts.targets.leaving_statements(),
         )
 
     async def _keep_up(self):
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -154,6 +154,20 @@
         description="How long entries that lapse around an outage of the target list "
         "are kept after it. Living targets are listed again within about 2 s.",
     )
+    leaving_told_s = Item(
+        float,
+        default=10.0,
+        minimum=0.0,
+        description="How long entries tell one another of a target that has said that "
+        "it leaves; longer than hosts that are cut off miss their news.",
+    )
+    leaving_told_limit = Item(
+        int,
+        default=32,
+        minimum=1,
+        description="Such targets that a datagram names, the newest first; some 1 KB "
+        "of its 8 KB.",
+    )
     reread_spread_s = Item(
         float,
         default=0.5,
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 
 from siskinthread.observability import part_logger
+from siskinthread.peer_news import LeavingStatement
 from siskinthread.timing import Deadline
 
 # Targets that are gone and still remembered: all of a fleet of 600 that is replaced
@@ -96,6 +97,7 @@
         "_listed",
         "_listeners",
         "_replaced",
+        "_said_leaving",
         "_settings",
     )
 
@@ -110,6 +112,8 @@
         # Ids that announced their leaving, the latest last; a late report, or a peer
         # that has not heard of it, must not bring them back.
         self._left = OrderedDict()
+        # When an answer of a target said that it leaves, monotonic seconds.
+        self._said_leaving = {}
         # Instances whose targets have started anew; a late report of an earlier start
         # must not displace the later one.
         self._replaced = set()
@@ -247,6 +251,35 @@
             entry.is_leaving = True
             self._tell(entry)
 
+    def note_says_leaving(self, instance_id):
+        """Note that an answer of a target says that it leaves."""
+        if instance_id not in self._said_leaving:
+            self._said_leaving[instance_id] = self._clock.monotonic_s()
+        self.note_leaving(instance_id, "its answer")
+
+    def hear_leaving(self, statements, told_by):
+        """Take each `LeavingStatement` of a peer."""
+        now_s = self._clock.monotonic_s()
+        for statement in statements:
+            is_told_late = statement.age_s >= self._settings.leaving_told_s
+            if is_told_late or statement.instance_id in self._said_leaving:
+                continue
+            self._said_leaving[statement.instance_id] = now_s - statement.age_s
+            self.note_leaving(statement.instance_id, told_by)
+
+    def leaving_statements(self):
+        """Return what peers should be told, a bounded number of `LeavingStatement`."""
+        now_s = self._clock.monotonic_s()
+        told_s = self._settings.leaving_told_s
+        for instance_id, at_s in list(self._said_leaving.items()):
+            if now_s - at_s >= told_s:
+                del self._said_leaving[instance_id]
+        newest = sorted(self._said_leaving.items(), key=lambda said: -said[1])
+        return [
+            LeavingStatement(instance_id, now_s - at_s)
+            for instance_id, at_s in newest[: self._settings.leaving_told_limit]
+        ]
+
     def expire_lapsed(self):
         """Remove lapsed entries that did not come back in time."""
         if not self._lapsed or not self._grace.passed():
--- a/siskinthread/gateway/tests/test_target_list.py
+++ b/siskinthread/gateway/tests/test_target_list.py
@@ -132,6 +132,34 @@
     assert ids(targets.serving("app")) == ["i-2"]
 
 
+def test_leaving_that_a_peer_was_told_of_is_taken_and_told_on():
+    """Each entry sent a request to a leaving target before it knew."""
+    teller, _ = build()
+    teller.note_says_leaving("i-1")
+    hearer, now = build()
+    hearer.hear_leaving(teller.leaving_statements(), "peer")
+    assert ids(hearer.serving("app")) == ["i-2"]
+    now.advance(SETTINGS.leaving_told_s / 2)
+    [told] = hearer.leaving_statements()
+    assert (told.instance_id, told.age_s) == ("i-1", SETTINGS.leaving_told_s / 2)
+
+
+def test_leaving_is_not_told_for_ever():
+    """Entries told one another of a leaving target in turn, and never ceased."""
+    first, _ = build()
+    second, now = build()
+    first.note_says_leaving("i-1")
+    told = first.leaving_statements()
+    now.advance(SETTINGS.leaving_told_s)
+    told[0].age_s = SETTINGS.leaving_told_s
+    second.hear_leaving(told, "peer")
+    assert ids(second.serving("app")) == ["i-1", "i-2"]
+    second.note_says_leaving("i-1")
+    now.advance(SETTINGS.leaving_told_s)
+    assert second.leaving_statements() == []
+    assert ids(second.serving("app")) == ["i-2"]
+
+
 def test_leaving_is_remembered_of_a_bounded_number_of_targets():
     """A process of months kept the id of each target that had ever left."""
     targets, _ = build()
--- a/siskinthread/peer_news/__init__.py
+++ b/siskinthread/peer_news/__init__.py
@@ -4,11 +4,24 @@
 with ``async run()``, ``counts(instance_id)``, ``newest_version()``,
 ``informed_peers()``, ``is_reader()`` and ``async tell_domain()``; ``describe`` is set
 to a callable that returns the `HostState` of this process, ``take_listing`` to a
-coroutine function that takes each `ListStatement` of a peer.
+coroutine function that takes each `ListStatement` of a peer, ``take_rests`` and
+``take_leaving`` to functions that take what targets have said of themselves to peers.
 """
 
-from siskinthread.peer_news._news import HostState, ListStatement, News
+from siskinthread.peer_news._news import (
+    HostState,
+    LeavingStatement,
+    ListStatement,
+    News,
+)
 from siskinthread.peer_news._peers import PeerNews
 from siskinthread.peer_news._settings import PeerNewsSettings
 
-__all__ = ["HostState", "ListStatement", "News", "PeerNews", "PeerNewsSettings"]
+__all__ = [
+    "HostState",
+    "LeavingStatement",
+    "ListStatement",
+    "News",
+    "PeerNews",
+    "PeerNewsSettings",
+]
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -38,6 +38,24 @@
         self.age_s = age_s
 
 
+class LeavingStatement:
+    """What a host tells others of a target that has said that it leaves.
+
+    Parameters
+    ----------
+    instance_id : str
+        The target.
+    age_s : float
+        Time since its answer said so, seconds.
+    """
+
+    __slots__ = ("age_s", "instance_id")
+
+    def __init__(self, instance_id, age_s):
+        self.instance_id = instance_id
+        self.age_s = age_s
+
+
 class HostState:
     """What one entry host knows and does.
 
@@ -68,6 +86,8 @@
         Requests a second that callers ask it for, by service that has a limit.
     rests : list of siskinthread.target_limits.RestStatement
         Rests that targets have asked it for.
+    leaving : list of LeavingStatement
+        Targets that have said lately that they leave.
     """
 
     __slots__ = (
@@ -76,6 +96,7 @@
         "counts",
         "is_domain_sum",
         "is_informed",
+        "leaving",
         "limits",
         "listing",
         "passes_s",
@@ -99,8 +120,10 @@
         limits=(),
         asked_rates=None,
         rests=(),
+        leaving=(),
     ):
         self.rests = list(rests)
+        self.leaving = list(leaving)
         self.slow_targets = list(slow_targets)
         self.limits = list(limits)
         self.asked_rates = {} if asked_rates is None else asked_rates
@@ -139,6 +162,7 @@
             limits=self.limits,
             asked_rates=asked_rates,
             rests=self.rests,
+            leaving=self.leaving,
         )
 
     def looks_like(self, other):
@@ -153,11 +177,13 @@
             and self.passes_s == other.passes_s
             and self.asked_rates == other.asked_rates
             and len(self.limits) == len(other.limits)
-            and self._resting_ids() == other._resting_ids()
+            and _ids(self.rests) == _ids(other.rests)
+            and _ids(self.leaving) == _ids(other.leaving)
         )
 
-    def _resting_ids(self):
-        return {rest.instance_id for rest in self.rests}
+
+def _ids(statements):
+    return {one.instance_id for one in statements}
 
 
 def add_counts(sums, counts):
@@ -207,20 +233,19 @@
         ----------
         limit_bytes : float
             Its largest size; suspected requests that don't fit are left out, the last
-            ones first, and then limits of targets.  One that is cut off by its size
-            would bring no news at all.
+            ones first, then limits of targets, rests and leaving targets.  One that is
+            cut off by its size would bring no news at all.
         """
-        suspects, limits = self.suspects, self.state.limits
-        data = self._encode_with(suspects, limits)
-        while len(data) > limit_bytes and (suspects or limits):
-            if suspects:
-                suspects = suspects[: len(suspects) // 2]
-            else:
-                limits = limits[: len(limits) // 2]
-            data = self._encode_with(suspects, limits)
+        state = self.state
+        optional = [self.suspects, state.limits, state.rests, state.leaving]
+        data = self._encode_with(*optional)
+        while len(data) > limit_bytes and any(optional):
+            number = next(i for i, part in enumerate(optional) if part)
+            optional[number] = optional[number][: len(optional[number]) // 2]
+            data = self._encode_with(*optional)
         return data
 
-    def _encode_with(self, suspects, limits):
+    def _encode_with(self, suspects, limits, rests, leaving):
         state = self.state
         document = {
             "sender": str(self.sender),
@@ -244,10 +269,15 @@
             document["limits"] = [_encode_limit(one) for one in limits]
         if state.asked_rates:
             document["asked"] = state.asked_rates
-        if state.rests:
+        if rests:
             document["rests_ms"] = {
                 one.instance_id: round(one.left_s * MILLISECONDS_PER_SECOND)
-                for one in state.rests
+                for one in rests
+            }
+        if leaving:
+            document["leaving_ms"] = {
+                one.instance_id: round(one.age_s * MILLISECONDS_PER_SECOND)
+                for one in leaving
             }
         if state.is_domain_sum:
             document["sum"] = True
@@ -283,7 +313,8 @@
                 [str(target) for target in document.get("slow", ())],
                 [_decode_limit(row) for row in document.get("limits", ())],
                 _decode_rates(document.get("asked", {})),
-                _decode_rests(document.get("rests_ms", {})),
+                _decode_times(document.get("rests_ms", {}), RestStatement),
+                _decode_times(document.get("leaving_ms", {}), LeavingStatement),
             )
             return cls(
                 _parse_address(document["sender"]),
@@ -339,10 +370,10 @@
     )
 
 
-def _decode_rests(rests_ms):
+def _decode_times(times_ms, build):
     return [
-        RestStatement(str(one), max(0, int(left_ms)) / MILLISECONDS_PER_SECOND)
-        for one, left_ms in rests_ms.items()
+        build(str(instance_id), max(0, int(time_ms)) / MILLISECONDS_PER_SECOND)
+        for instance_id, time_ms in times_ms.items()
     ]
 
 
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -39,8 +39,9 @@
         each change at once, and of what still counts once a second.
     limits : siskinthread.target_limits.TargetLimits or None
         Takes what peers tell of the limits of targets.
-    take_rests : callable or None
-        Called with the list of `RestStatement` of a peer, and its address as text.
+    take_rests, take_leaving : callable or None
+        Called with the list of `RestStatement`, and of `LeavingStatement`, of a peer,
+        and its address as text.
 
     Notes
     -----
@@ -59,6 +60,7 @@
         "_suspects_told",
         "limits",
         "poison",
+        "take_leaving",
         "take_listing",
         "take_rests",
     )
@@ -72,6 +74,7 @@
         self._far_deadline = Deadline.after(clock, 0.0)
         self.take_listing = None
         self.take_rests = None
+        self.take_leaving = None
         self.poison = None
         self.limits = None
         # What the news that go out now tell of suspected requests, and what was told.
@@ -106,10 +109,7 @@
                 self._take(news)
                 await self._hand_on(news, data, source)
                 await self._pass_on(news.state.listing)
-                if self.limits is not None:
-                    self.limits.hear(news.state.limits, str(news.sender))
-                if self.take_rests is not None:
-                    self.take_rests(news.state.rests, str(news.sender))
+                self._pass_statements_on(news)
                 if self.poison is not None:
                     await self.poison.hear(news.suspects, str(news.sender))
             except ProtocolError as error:
@@ -118,6 +118,16 @@
                 # A datagram sent earlier was refused; its sender learns it here.
                 continue
 
+    def _pass_statements_on(self, news):
+        """Hand on what targets have said of themselves to the sender of news."""
+        told_by = str(news.sender)
+        if self.limits is not None:
+            self.limits.hear(news.state.limits, told_by)
+        if self.take_rests is not None:
+            self.take_rests(news.state.rests, told_by)
+        if self.take_leaving is not None:
+            self.take_leaving(news.state.leaving, told_by)
+
     async def _pass_on(self, listing):
         if listing is not None and self.take_listing is not None:
             await self.take_listing(listing)
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -10,6 +10,7 @@
 from siskinthread.errors import ProtocolError
 from siskinthread.peer_news import (
     HostState,
+    LeavingStatement,
     ListStatement,
     News,
     PeerNews,
@@ -402,12 +403,20 @@
     assert told.state.asked_rates == {"app": 12.5}
 
 
-def test_rests_of_targets_survive_the_way():
-    """A datagram tells for how long targets want no request from its sender."""
-    state = HostState(1, True, {}, rests=[RestStatement("i-1", 2.75)])
+def test_rests_and_leaving_of_targets_survive_the_way():
+    """A datagram tells what targets have said of themselves to its sender."""
+    state = HostState(
+        1,
+        True,
+        {},
+        rests=[RestStatement("i-1", 2.75)],
+        leaving=[LeavingStatement("i-2", 0.5)],
+    )
     told = News.decode(News(Address("10.0.0.1", 1), "a", state, []).encode())
     [rest] = told.state.rests
     assert (rest.instance_id, rest.left_s) == ("i-1", 2.75)
+    [leaving] = told.state.leaving
+    assert (leaving.instance_id, leaving.age_s) == ("i-2", 0.5)
     assert not told.state.looks_like(HostState(1, True, {}))
 
 
@@ -420,6 +429,23 @@
     assert 0 < len(News.decode(data).state.limits) < 48
 
 
+def test_news_that_would_not_fit_tell_of_leaving_targets_last():
+    """A host was silent for all others once many targets rested or left."""
+    counts = {f"i-{number:010}": 1 for number in range(405)}
+    state = HostState(
+        1,
+        True,
+        counts,
+        limits=limits(48),
+        rests=[RestStatement(f"i-{number}", 1.0) for number in range(32)],
+        leaving=[LeavingStatement(f"i-{number}", 1.0) for number in range(32)],
+    )
+    data = News(Address("10.0.0.1", 1), "a", state, []).encode(8192)
+    assert len(data) <= 8192
+    told = News.decode(data).state
+    assert (told.limits, len(told.leaving)) == ([], 32)
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -431,6 +457,10 @@
         {"asked": []},
         {"asked": {"app": "inf"}},
         {"asked": {"app": None}},
+        {"rests_ms": 5},
+        {"rests_ms": {"i-1": "soon"}},
+        {"leaving_ms": ["i-1"]},
+        {"leaving_ms": {"i-1": None}},
     ],
 )
 def test_unreadable_limits_are_an_error_of_the_protocol(fields):
--- a/siskinthread/platform/tests/test_target_rests.py
+++ b/siskinthread/platform/tests/test_target_rests.py
@@ -102,3 +102,12 @@
     load = run_load([service], entry_count, load_s=4.0)
     assert service.late_arrivals(DRAIN_S) == []
     assert load.served_share() == 1.0
+
+
+def test_leaving_that_one_entry_was_told_of_holds_for_all():
+    """Each entry lost a request to a leaving server before it knew."""
+    service = LeavingService(serves_s=0.5, tells_only="entry-0")
+    load = run_load([service], entry_count=4, load_s=3.0)
+    # News come every 0.02 s here.
+    assert service.arrivals_behind_the_first_word(after_s=0.5) == []
+    assert load.served_share() == 1.0
--- a/standins/platform_rests.py
+++ b/standins/platform_rests.py
@@ -114,6 +114,8 @@
     ----------
     serves_s : float
         How long it serves before, from its first request on.
+    tells_only : str or None
+        The only entry that it says so to, if not to all.
 
     Attributes
     ----------
@@ -121,10 +123,11 @@
         All requests, in order.
     """
 
-    __slots__ = ("_first_at_s", "_serves_s", "_told_at_s", "arrivals")
+    __slots__ = ("_first_at_s", "_serves_s", "_tells_only", "_told_at_s", "arrivals")
 
-    def __init__(self, serves_s):
+    def __init__(self, serves_s, tells_only=None):
         self._serves_s = serves_s
+        self._tells_only = tells_only
         self._first_at_s = None
         # When each entry was told first.
         self._told_at_s = {}
@@ -137,12 +140,18 @@
         if self._first_at_s is None:
             self._first_at_s = arrival.at_s
         headers = sealed()
-        if arrival.at_s - self._first_at_s >= self._serves_s:
+        is_leaving = arrival.at_s - self._first_at_s >= self._serves_s
+        if is_leaving and self._tells_only in (None, arrival.entry_name):
             headers.append("Server-Leaving: 1")
         await client.sendall(answer_bytes(request.request_id, headers=headers))
         if "Server-Leaving: 1" in headers:
             self._told_at_s.setdefault(arrival.entry_name, time.monotonic())
 
+    def arrivals_behind_the_first_word(self, after_s):
+        """Return the requests that were sent so long after any entry was told."""
+        first_s = min(self._told_at_s.values())
+        return [one for one in self.arrivals if one.sent_at_s - first_s > after_s]
+
     def late_arrivals(self, drain_s):
         """Return the requests that were sent so long after their entry was told."""
         return [
