--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -431,7 +431,7 @@
 
 def test_news_that_would_not_fit_tell_of_leaving_targets_last():
     """A host was silent for all others once many targets rested or left."""
-    counts = {f"i-{number:010}": 1 for number in range(405)}
+    counts = {f"i-{number:010}": 1 for number in range(440)}
     state = HostState(
         1,
         True,
