--- a/scripts/soak/_faults.py
+++ b/scripts/soak/_faults.py
@@ -22,9 +22,18 @@
 # Part of the fault for which the store goes on after the copy was made.
 COPY_AGE_SHARE = 0.8
 SPOILT_SHARE = 0.08
+# Part of the requests that a server turns away, and the rest that it asks for.
+REST_SHARES = (0.2, 0.6, 1.0)
+RESTS_S = (0.7, 1.5, 3.0)
 LIMITS_PER_S = ("0", "1", "3", "6.5")
 # What is done to a process itself, and not to its links.
-PROCESS_KINDS = ("freeze server", "kill server")
+PROCESS_KINDS = (
+    "freeze server",
+    "kill server",
+    "freeze gateway",
+    "kill gateway",
+    "stop gateway",
+)
 SPOILT_WAYS = ("lose", "cut", "twice", "another", "nonsense", "hang", "fail")
 
 
@@ -196,19 +205,39 @@
         """Let the answers of a server name a limit for a while."""
         limit = random.Random(fault.seed).choice(LIMITS_PER_S)
         instance_id = server.instance_id
-        await self._set_limit(server, limit)
+        await self._state(server, limit=limit)
         named_s = time.monotonic()
         await curio.sleep(fault.for_s)
         ended_s = time.monotonic()
         if server.instance_id == instance_id:
-            await self._set_limit(server, None)
+            await self._state(server, limit=None)
             self._records.limits.append(
                 NamedLimit(instance_id, float(limit), named_s, ended_s)
             )
 
-    async def _set_limit(self, server, limit):
+    async def ask_for_rest(self, server, fault):
+        """Let a server turn requests away for a while and ask for rest."""
+        drawn = random.Random(fault.seed)
+        instance_id = server.instance_id
+        rest = [drawn.choice(REST_SHARES), drawn.choice(RESTS_S)]
+        await self._state(server, rest=rest)
+        await curio.sleep(fault.for_s)
+        if server.instance_id == instance_id:
+            await self._state(server, rest=None)
+
+    async def say_leaving(self, server, fault):
+        """Let a server leave that says so in its answers only."""
+        old_id = server.instance_id
+        if server.is_down or server.state != "ready":
+            return
+        await self._state(server, leaving=True)
+        await curio.sleep(SERVE_ON_S)
+        if await self._replace(server, old_id, 0.0):
+            await self._system.drop(old_id)
+
+    async def _state(self, server, **stated):
         if not server.is_down and server.process.running():
-            await self._system.set_server(server, limit=limit)
+            await self._system.set_server(server, **stated)
 
     async def store_mode(self, subject, fault, mode, lapse=False):
         """Let the store turn everybody away for a while."""
@@ -279,6 +308,8 @@
     "retire server": Faults.retire_server,
     "spoil answers": Faults.spoil_answers,
     "name a limit": Faults.name_limit,
+    "ask for rest": Faults.ask_for_rest,
+    "say leaving": Faults.say_leaving,
     "delay server link": Faults.delay,
     "reset server link": Faults.reset,
     "silence server link": Faults.silence,
--- a/scripts/soak/_promises.py
+++ b/scripts/soak/_promises.py
@@ -20,6 +20,8 @@
 LEFT_BEHIND_S = 0.5
 REGRESS_S = 0.25
 ARRIVED_LATE_S = 0.5
+REST_SLACK_S = 0.5
+REST_COUNT = 2
 LIMIT_SETTLED_S = 3.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
@@ -231,6 +233,62 @@
     return _is_in_touch(records, gateway, limit.named_s, run["arrived_s"])
 
 
+def rest_ignored(records, runs):
+    """Servers that got requests of a gateway that they had asked for rest."""
+    gateways = {call.request_id: call.gateway for call in records.calls}
+    broken = []
+    for instance_id, of_server in records.runs.items():
+        server = ("server", records.server_of[instance_id])
+        for asked in of_server:
+            gateway = gateways.get(asked["request_id"])
+            if gateway is None or not asked["rest_asked_s"]:
+                continue
+            from_s = asked["refused_s"] + REST_SLACK_S
+            until_s = asked["refused_s"] + asked["rest_asked_s"]
+            count = sum(
+                from_s < run["arrived_s"] < until_s
+                and not run["is_misdirected"]
+                and gateways.get(run["request_id"]) == gateway
+                for run in of_server
+            )
+            is_link_calm = records.disruptions.is_calm(server, from_s, until_s)
+            in_touch = _is_in_touch(records, gateway, asked["refused_s"], until_s)
+            if count > REST_COUNT and is_link_calm and in_touch:
+                broken.append(
+                    f"{instance_id} got {count} requests of {gateway} in a rest of "
+                    f"{asked['rest_asked_s']} s from {asked['refused_s']:.2f}"
+                )
+    return broken
+
+
+def used_after_it_said_so(records, runs):
+    """Requests at a server long after their gateway passed on that it leaves."""
+    calls = {call.request_id: call for call in records.calls}
+    broken = []
+    for instance_id, of_server in records.runs.items():
+        told_s = {}
+        for run in of_server:
+            call = calls.get(run["request_id"])
+            if call is not None and run["said_leaving"] and call.is_served:
+                before_s = told_s.get(call.gateway, call.ended_s)
+                told_s[call.gateway] = min(before_s, call.ended_s)
+        for run in of_server:
+            call = calls.get(run["request_id"])
+            if call is None or run["is_misdirected"] or call.gateway not in told_s:
+                continue
+            since_s = told_s[call.gateway]
+            process = ("process", call.gateway)
+            is_same = records.disruptions.is_untouched(
+                process, since_s, run["arrived_s"]
+            )
+            if is_same and call.started_s > since_s + LEAVING_S:
+                late_s = call.started_s - since_s
+                broken.append(
+                    f"{instance_id} used {late_s:.2f} s after its word: {call}"
+                )
+    return broken
+
+
 def not_kept_off(records, runs):
     """Requests under which three servers have ended, and that go on to reach others.
 
@@ -309,6 +367,8 @@
     worked_on_for_nobody,
     arrived_after_the_end,
     limit_exceeded,
+    rest_ignored,
+    used_after_it_said_so,
     not_kept_off,
     refused_for_another,
 )
--- a/scripts/soak/tests/test_promises.py
+++ b/scripts/soak/tests/test_promises.py
@@ -51,6 +51,10 @@
         "ended_s": ended_s,
         "ran": True,
         "answered": True,
+        "is_misdirected": False,
+        "rest_asked_s": 0.0,
+        "refused_s": None,
+        "said_leaving": False,
     }
     return values | fields
 
@@ -112,6 +116,12 @@
     CallRecord(f"soak-{n}", "safe", "/safe/x", GATEWAY, answer(), *2 * [AT_S + n / 20])
     for n in range(12)
 ]
+ASKED = run(CROWD[0].request_id, ran=False, rest_asked_s=3.0, refused_s=AT_S)
+IN_THE_REST = [run(CROWD[n].request_id, AT_S + n) for n in (1, 2)]
+WORD = call(seen=answer(body=b""), request_id="soak-7")
+BEHIND_THE_WORD = CallRecord(
+    "soak-8", "safe", "/safe/x", GATEWAY, answer(), *2 * [AT_S + 2.5]
+)
 LOST = answer(status=None, whole=False)
 REFUSED = answer(status=503)
 BROKEN = {
@@ -146,6 +156,13 @@
         [run(one.request_id, one.started_s) for one in CROWD],
         limits=[NamedLimit("i-1", 1.0, AT_S - 4, AT_S + 9)],
     ),
+    "rest_ignored": records(
+        CROWD, [ASKED, *IN_THE_REST, run(CROWD[3].request_id, AT_S + 2.9)]
+    ),
+    "used_after_it_said_so": records(
+        [WORD, BEHIND_THE_WORD],
+        [run("soak-7", said_leaving=True), run("soak-8", AT_S + 2.5)],
+    ),
     "not_kept_off": records(ENDING, ends=LATE_ENDS),
     "refused_for_another": records(
         [call(seen=answer(status=503, body=b'{"reason": "ends_targets"}'))]
@@ -222,3 +239,18 @@
     assert len(broken(_promises.arrived_after_the_end, noted)) == 1
     noted.disruptions.begin(("process", "server-0"), AT_S)
     assert broken(_promises.arrived_after_the_end, noted) == []
+
+
+def test_two_requests_in_a_rest_are_allowed():
+    """What was under way when the answer came may still arrive."""
+    noted = records(CROWD, [ASKED, *IN_THE_REST, run(CROWD[3].request_id, AT_S + 0.4)])
+    assert broken(_promises.rest_ignored, noted) == []
+
+
+def test_only_a_restart_or_a_freeze_excuses_requests_after_the_leaving_was_said():
+    """A gateway whose links were disturbed has been told all the same."""
+    noted = copy.deepcopy(BROKEN["used_after_it_said_so"])
+    noted.disruptions.begin(("gateway", GATEWAY), AT_S + 1)
+    assert len(broken(_promises.used_after_it_said_so, noted)) == 1
+    noted.disruptions.begin(("process", GATEWAY), AT_S + 1)
+    assert broken(_promises.used_after_it_said_so, noted) == []
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -5,8 +5,9 @@
 
 Run it with ``python -m standins.platform_server --port 0 --instance-id i-1``.  ``POST
 /faults`` takes ``behaviours``: names of `BEHAVIOURS` for the next requests, in place of
-those before; with ``--steady`` also ``shares`` and ``seed``, and ``limit``, which its
-answers then name, and ``GET /runs`` answers what `SteadyService` has noted.
+those before; with ``--steady`` also ``shares`` and ``seed``, and what its answers then
+state: ``limit``, ``rest``, ``leaving``.  ``GET /runs`` answers what `SteadyService` has
+noted.
 """
 
 import argparse
@@ -24,6 +25,8 @@
 from standins.platform_service import SteadyService
 
 READ_SIZE_BYTES = 65_536
+# What a steady service states in its answers.
+STATED = {"leaving", "limit", "rest"}
 
 
 class SeenRequest:
@@ -163,8 +166,8 @@
         self.behaviours.clear()
         for name in faults.get("behaviours", ()):
             self.behaviours.append(BEHAVIOURS[name])
-        if "limit" in faults:
-            self._default.limit = faults["limit"]
+        for name in STATED & set(faults):
+            setattr(self._default, name, faults[name])
         if "shares" in faults:
             self._default.set_faults(faults["shares"], faults["seed"])
         return {}
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -58,6 +58,14 @@
         When it stopped working.
     answered : bool
         Whether it sent a whole answer.
+    is_misdirected : bool
+        Whether it was meant for another instance.
+    rest_asked_s : float
+        The rest that its refusal asked for, seconds.
+    refused_s : float or None
+        When that was.
+    said_leaving : bool
+        Whether its answer said that the server leaves.
     """
 
     __slots__ = (
@@ -65,9 +73,13 @@
         "answered",
         "arrived_s",
         "ended_s",
+        "is_misdirected",
         "path",
         "ran",
+        "refused_s",
         "request_id",
+        "rest_asked_s",
+        "said_leaving",
     )
 
     def __init__(self, request_id, path, account, arrived_s):
@@ -78,6 +90,10 @@
         self.ran = False
         self.ended_s = None
         self.answered = False
+        self.is_misdirected = False
+        self.rest_asked_s = 0.0
+        self.refused_s = None
+        self.said_leaving = False
 
     def as_json(self):
         """Return it as a JSON value."""
@@ -98,9 +114,22 @@
         Every request that arrived.
     limit : str or None
         The limit that its answers name, requests a second.
+    rest : list of float or None
+        Part of the requests that it turns away, and the rest that it then asks for.
+    leaving : bool
+        Whether its answers say that it leaves.
     """
 
-    __slots__ = ("_instance_id", "_random", "_running", "_shares", "limit", "runs")
+    __slots__ = (
+        "_instance_id",
+        "_random",
+        "_running",
+        "_shares",
+        "leaving",
+        "limit",
+        "rest",
+        "runs",
+    )
 
     def __init__(self, instance_id):
         self._instance_id = instance_id
@@ -108,6 +137,8 @@
         self._shares = {}
         self._running = 0
         self.limit = None
+        self.rest = None
+        self.leaving = False
         self.runs = []
 
     def set_faults(self, shares, seed):
@@ -135,7 +166,11 @@
         if request.headers.get("x-expect-instance", self._instance_id) != (
             self._instance_id
         ):
+            run.is_misdirected = True
             return await self._decline(request, client, "421 Misdirected Request")
+        run.said_leaving = self.leaving
+        if self.rest is not None and self._random.random() < self.rest[0]:
+            return await self._ask_for_rest(run, request, client)
         if self._running >= SLOT_COUNT:
             return await self._decline(request, client, "503 Service Unavailable")
         self._running += 1
@@ -146,8 +181,14 @@
             run.ended_s = time.monotonic()
             self._running -= 1
 
-    async def _decline(self, request, client, status):
-        headers = ["X-Not-Executed: 1", *self._state_headers()]
+    async def _ask_for_rest(self, run, request, client):
+        run.rest_asked_s = self.rest[1]
+        rest = f"Retry-After: {run.rest_asked_s}"
+        await self._decline(request, client, "503 Service Unavailable", [rest])
+        run.refused_s = time.monotonic()
+
+    async def _decline(self, request, client, status, headers=()):
+        headers = ["X-Not-Executed: 1", *headers, *self._state_headers()]
         await client.sendall(
             answer_bytes(request.request_id, status, b"", headers),
         )
@@ -208,7 +249,8 @@
         return [load, *self._limit_headers()]
 
     def _limit_headers(self):
-        return [] if self.limit is None else [f"Server-Limit: {self.limit}"]
+        headers = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
+        return [*headers, "Server-Leaving: 1"] if self.leaving else headers
 
 
 def _end_process(run):
