Hold what is known to be gone against a peer that keeps it by grace

What callers would see: requests sent to a server that has left, by hosts that knew so. Two hosts listed a gone server again 0.4 s after they had dropped it. One that it never knew, it takes. Left: a host that has not yet dropped it keeps it until its own list is confirmed.

--- a/siskinthread/gateway/_snapshots.py
+++ b/siskinthread/gateway/_snapshots.py
@@ -18,12 +18,16 @@
         The peer's routes.
     entries : list of TargetEntry
         The peer's targets.
+    kept_ids : set of str
+        Listed ids of those that the peer only keeps for a while, since they vanished
+        around an outage.
     """
 
-    __slots__ = ("entries", "table")
+    __slots__ = ("entries", "kept_ids", "table")
 
-    def __init__(self, table, entries):
+    def __init__(self, table, entries, kept_ids=frozenset()):
         self.table = table
+        self.kept_ids = kept_ids
         self.entries = entries
 
 
@@ -185,7 +189,8 @@
                 told_by=str(address),
             )
         if with_targets:
-            self._targets.replace(snapshot.entries, is_sure=is_informed)
+            entries = self._targets.without_gone(snapshot.entries, snapshot.kept_ids)
+            self._targets.replace(entries, is_sure=is_informed)
             if is_informed:
                 self._targets.note_confirmed()
         return True
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -210,6 +210,31 @@
             else:
                 self.vanish(entry.listed_id)
 
+    def without_gone(self, entries, kept_ids):
+        """Return a peer's targets without those that this process knows to be gone.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+            The peer's targets.
+        kept_ids : set of str
+            Listed ids of those that the peer keeps only because they vanished around
+            an outage; it can't tell which of them have left.
+        """
+        held = [
+            one
+            for one in entries
+            if one.listed_id in kept_ids and one.instance_id in self._gone
+        ]
+        if held:
+            ids = sorted(one.instance_id for one in held)
+            _logger.event("targets are held against a peer's list", targets=ids)
+        return [one for one in entries if one not in held]
+
+    def kept_ids(self):
+        """Return the listed ids of targets that vanished and are kept for a while."""
+        return {self._entries[one].listed_id for one in self._lapsed}
+
     def replace_by_older(self, entries):
         """Take a list whose source has come back older than it was.
 
--- a/siskinthread/gateway/tests/test_target_list.py
+++ b/siskinthread/gateway/tests/test_target_list.py
@@ -123,6 +123,25 @@
     assert ids(targets.serving("app")) == ["i-2"]
 
 
+def test_target_that_is_gone_is_not_listed_again_by_a_peer_that_keeps_it():
+    """A host back from a cut handed on a gone server that it kept by grace."""
+    targets, _ = build()
+    targets.replace([entry("i-2")], is_sure=True)
+    told = targets.without_gone([entry("i-1"), entry("i-2"), entry("i-3")], {"i-1"})
+    assert ids(told) == ["i-2", "i-3"]
+    # One that this process has not known, or that the peer has listed, may be there.
+    assert ids(targets.without_gone([entry("i-3")], {"i-3"})) == ["i-3"]
+    assert ids(targets.without_gone([entry("i-1")], set())) == ["i-1"]
+
+
+def test_kept_targets_are_told_apart():
+    """Whoever takes the list over must know which of them only lapsed."""
+    targets, _ = build()
+    targets.note_outage()
+    targets.vanish("i-1")
+    assert targets.kept_ids() == {"i-1"}
+
+
 def test_target_that_said_it_leaves_while_it_was_not_listed_stays_away():
     """The answer of a stream came after the target had vanished from the list."""
     targets, _ = build()
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -151,8 +151,10 @@
         await self._gateway.serve_pages(_listen(self._settings.peer_address), pages)
 
     def _snapshot_page(self):
-        entries = self._gateway.parts.targets.entries()
-        return snapshot_page(self._tables, self._targets, entries)
+        believed = self._gateway.parts.targets
+        return snapshot_page(
+            self._tables, self._targets, believed.entries(), believed.kept_ids()
+        )
 
     async def _fetch_snapshot(self, address):
         return await fetch_snapshot(address, PEER_ANSWER_WAIT_S)
--- a/siskinthread/platform/_snapshots.py
+++ b/siskinthread/platform/_snapshots.py
@@ -19,7 +19,7 @@
 SNAPSHOT_PATH = "/snapshot"
 
 
-def snapshot_page(tables, targets, entries):
+def snapshot_page(tables, targets, entries, kept_ids):
     """Return the `StatusPage` of what this process knows.
 
     Parameters
@@ -31,6 +31,8 @@
     entries : list of siskinthread.gateway.TargetEntry
         Targets as this process believes them to be.  The record of one that leaves may
         be of before, from an older copy; so it is left out.
+    kept_ids : set of str
+        Listed ids of those that have vanished and are only kept for a while.
     """
     serving_ids = {entry.listed_id for entry in entries if not entry.is_leaving}
     document = {
@@ -40,6 +42,7 @@
             for key, record in targets.newest.items()
             if key in serving_ids
         },
+        "kept": sorted(kept_ids & serving_ids),
     }
     return StatusPage(STATUS_OK, json.dumps(document).encode())
 
@@ -63,6 +66,7 @@
     try:
         config, servers = document["config"], document["servers"]
         records = [KeyedRecord(key, value.encode()) for key, value in servers.items()]
+        kept_ids = {str(one) for one in document.get("kept", ())}
         published = [] if config is None else [config.encode()]
     except (KeyError, TypeError, AttributeError) as error:
         raise PlatformUnavailableError(f"unreadable snapshot: {error!r}") from error
@@ -71,4 +75,4 @@
     )
     changes = ListedTargets(None).take(records)
     entries = [change.entry for change in changes if change.entry is not None]
-    return Snapshot(tables[0] if tables else None, entries)
+    return Snapshot(tables[0] if tables else None, entries, kept_ids)
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -220,8 +220,10 @@
 
     def snapshot_page(self):
         """Return what the gateway hands to a peer that the store turns away."""
-        entries = self.gateway.parts.targets.entries()
-        return snapshot_page(self.tables, self.targets, entries)
+        believed = self.gateway.parts.targets
+        return snapshot_page(
+            self.tables, self.targets, believed.entries(), believed.kept_ids()
+        )
 
     def seen(self):
         """Return every request that reached a server."""
--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -33,13 +33,17 @@
     return handle
 
 
-def page_of(system, document, entries):
-    """Return the snapshot page of a peer that knows a document and entries."""
+def page_of(system, document, entries, kept_ids=frozenset()):
+    """Return the snapshot page of a peer that knows a document and entries.
+
+    It keeps some of these for a while only.
+    """
     tables = type(system.tables)(None)
     targets = type(system.targets)(None)
     tables.take([record("config", document)])
     changes = targets.take([record(key, value) for key, value in entries.items()])
-    return snapshot_page(tables, targets, [change.entry for change in changes])
+    believed = [change.entry for change in changes]
+    return snapshot_page(tables, targets, believed, set(kept_ids))
 
 
 def record(key, value):
@@ -91,6 +95,26 @@
     assert run_system(test) == (200, 401)
 
 
+def test_server_that_is_gone_is_not_listed_again_by_a_peer_that_keeps_it():
+    """Two hosts listed a gone server again, which a peer just back kept by grace."""
+
+    async def test(system):
+        gone, other = system.servers
+        await system.store.put("keyed.servers", gone.instance_id, None)
+        targets = system.gateway.parts.targets
+        await until(lambda: len(targets.entries()) == 1)
+        entries = {one.instance_id: listed(one) for one in system.servers}
+        page = page_of(system, published(2), entries, {gone.instance_id})
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.store.mode = "busy"
+            system.peers.informed = [Address(peer.host, peer.port)]
+            await until(lambda: system.gateway.view.table.version == 2)
+        return [one.instance_id for one in targets.entries()], other.instance_id
+
+    left, other_id = run_system(test)
+    assert left == [other_id]
+
+
 def test_host_that_starts_turned_away_serves_by_what_a_peer_knows():
     """Symptom: a restarted host refuses everything for as long as the store does."""
 
