Read what servers ask for in answers to reports and orders too

Cause: only answers to requests were read; a server that gets none, for a limit of nothing or since it rests, says what it wants in its answers to orders and reports. Change: a rank's client hands the facts of each answer on; a limit, a rest or a leaving that stands there counts, one that is missing ends nothing, as such answers need not state all. An answer with 421 is another server's. Ruled out: to keep orders and reports from a resting rank: a request is one that bears a caller's id, and a group that is held must be released.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -250,10 +250,7 @@
             parts.loads.report(self.entry.instance_id, facts.load)
         parts.limits.note_answer(self.entry, sent_at_s, facts.stated_limit)
         parts.rests.note_answer(self.entry, sent_at_s, facts.stated_rest)
-        if self.rest_asked_s > 0:
-            parts.measures.rest_asked(self.entry.service_name)
-        if facts.is_leaving:
-            parts.targets.note_says_leaving(self.entry.instance_id)
+        parts.note_demands(self.entry, facts)
 
     def _is_awaited(self, head):
         facts = self._parts.wire.read_answer(head)
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -135,6 +135,33 @@
             random,
         )
 
+    def note_demands(self, entry, facts):
+        """Take what a target asks of this entry, besides a rate, in any answer.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            The target.
+        facts : AnswerFacts
+            What its answer states.
+        """
+        if facts.stated_rest.wait_s > 0:
+            self.measures.rest_asked(entry.service_name)
+        if facts.is_leaving:
+            self.targets.note_says_leaving(entry.instance_id)
+
+    def note_other_answer(self, entry, sent_at_s, facts):
+        """Take what a target states in an answer to something else than a request.
+
+        It need not state there all that it does in answers to requests, so that what
+        is missing ends nothing.
+        """
+        if facts.stated_limit.rate_per_s is not None:
+            self.limits.note_answer(entry, sent_at_s, facts.stated_limit)
+        if facts.stated_rest.wait_s > 0:
+            self.rests.note_answer(entry, sent_at_s, facts.stated_rest)
+        self.note_demands(entry, facts)
+
     def _forget(self, entry):
         """Drop what is known of a target that gets no more requests."""
         self.health.forget(entry.instance_id)
--- a/siskinthread/platform/_group_control.py
+++ b/siskinthread/platform/_group_control.py
@@ -103,7 +103,13 @@
         return rank_places_page(self._directory.places())
 
     def _build_client(self, entry):
-        return RankClient(entry, self._layout(entry), self._rank_calls)
+        return RankClient(
+            entry,
+            self._layout(entry),
+            self._rank_calls,
+            SYSTEM_CLOCK,
+            self._gateway.parts.note_other_answer,
+        )
 
     def _find_layout(self, instance_id):
         for entry in self._gateway.parts.targets.entries():
--- a/siskinthread/platform/_rank_client.py
+++ b/siskinthread/platform/_rank_client.py
@@ -17,8 +17,9 @@
     Release,
 )
 from siskinthread.observability import part_logger
+from siskinthread.outcomes import Head
 from siskinthread.platform._server_entry import read_started_at
-from siskinthread.platform._wire import EXPECTED_INSTANCE
+from siskinthread.platform._wire import EXPECTED_INSTANCE, PlatformWire
 from siskinthread.settings import Address
 from siskinthread.shared_services import HttpClient
 
@@ -48,11 +49,27 @@
         Shape of the maps.
     call_count : prometheus_client.Counter
         Counts calls by ``call``; each of them is paid for.
+    clock : siskinthread.timing.Clock
+        Clock of the answers.
+    note_answer : callable
+        Takes the server, when a call was sent (monotonic seconds) and the `AnswerFacts`
+        of its answer.
     """
 
-    __slots__ = ("_call_count", "_expectation", "_http", "_layout")
+    __slots__ = (
+        "_call_count",
+        "_clock",
+        "_entry",
+        "_expectation",
+        "_http",
+        "_layout",
+        "_note_answer",
+    )
 
-    def __init__(self, entry, layout, call_count):
+    def __init__(self, entry, layout, call_count, clock, note_answer):
+        self._entry = entry
+        self._clock = clock
+        self._note_answer = note_answer
         address = Address(entry.host, entry.port)
         self._http = HttpClient("rank", address, None)
         # The address of a server that is gone may belong to a rank of another group,
@@ -85,9 +102,7 @@
         body = _encode_order(order)
         self._call_count.labels("order").inc()
         try:
-            answer = await self._http.call(
-                "POST", ORDER_PATH, body, [JSON_HEADER, self._expectation], wait_s
-            )
+            answer = await self._call("POST", ORDER_PATH, body, [JSON_HEADER], wait_s)
         except PlatformUnavailableError:
             return OrderResult.UNKNOWN
         if answer.status in TAKEN_STATUSES:
@@ -105,8 +120,7 @@
     async def _get(self, path, wait_s):
         self._call_count.labels(path.partition("?")[0].rpartition("/")[2]).inc()
         try:
-            headers = [self._expectation]
-            answer = await self._http.call("GET", path, b"", headers, wait_s)
+            answer = await self._call("GET", path, b"", [], wait_s)
         except PlatformUnavailableError as error:
             raise TargetError(str(error)) from error
         if answer.status != STATUS_OK:
@@ -116,6 +130,16 @@
         except (ValueError, RecursionError) as error:
             raise TargetError(f"{path}: answer is no JSON") from error
 
+    async def _call(self, method, path, body, headers, wait_s):
+        sent_at_s = self._clock.monotonic_s()
+        answer = await self._http.call(
+            method, path, body, [*headers, self._expectation], wait_s
+        )
+        facts = PlatformWire().read_answer(Head(answer.status, _texts(answer.headers)))
+        if not facts.is_other_instance:
+            self._note_answer(self._entry, sent_at_s, facts)
+        return answer
+
     def _read(self, read, document):
         try:
             return read(document, self._layout)
@@ -130,6 +154,10 @@
             raise TargetError(f"unreadable answer: {error!r}") from error
 
 
+def _texts(headers):
+    return [(name.decode("ascii"), value.decode("latin-1")) for name, value in headers]
+
+
 def _read_report(document, layout):
     group = document["group"]
     prepared = document.get("prepared")
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -23,6 +23,7 @@
 from siskinthread.platform.tests.system import published, route
 from siskinthread.settings import Address
 from siskinthread.shared_services._http import Answer
+from siskinthread.timing import SYSTEM_CLOCK
 from standins._http_server import HttpServer
 
 SETTINGS_TEXT = """
@@ -274,13 +275,29 @@
 class FakeHttp:
     """Keeps the headers of calls and answers them with a status."""
 
-    def __init__(self):
+    def __init__(self, status, answer_headers):
+        self._status = status
+        self._answer_headers = answer_headers
         self.headers = []
 
     async def call(self, method, target, body, headers, wait_s):
         """Answer a call."""
         self.headers.append(headers)
-        return Answer(421, None, b"")
+        return Answer(self._status, None, b"", self._answer_headers)
+
+
+def rank_client(target, status, answer_headers):
+    """Return a client whose calls are answered so, and what it tells of the answers."""
+    told = []
+    client = RankClient(
+        target,
+        None,
+        Metrics().counter("calls", "Calls.", ("call",)),
+        SYSTEM_CLOCK,
+        lambda entry, sent_at_s, facts: told.append((entry, facts)),
+    )
+    client._http = FakeHttp(status, answer_headers)
+    return client, told
 
 
 def test_calls_to_ranks_name_the_instance_they_are_meant_for():
@@ -290,11 +307,23 @@
     the address.
     """
     target = TargetEntry("i-7", "app", "127.0.0.1", 1, "a", 6, False)
-    client = RankClient(target, None, Metrics().counter("calls", "Calls.", ("call",)))
-    client._http = FakeHttp()
+    client, told = rank_client(target, 421, [(b"server-leaving", b"1")])
     result = curio.run(client.order, Hold(1, 5), 0.1)
     assert result is OrderResult.REFUSED
     assert (EXPECTED_INSTANCE, "i-7") in client._http.headers[0]
+    # What another instance says of itself does not concern this one.
+    assert told == []
+
+
+def test_answers_to_orders_tell_what_the_server_asks_for():
+    """A leaving server that gets no requests says so in these answers only."""
+    target = TargetEntry("i-7", "app", "127.0.0.1", 1, "a", 6, False)
+    headers = [(b"server-leaving", b"1"), (b"server-limit", b"4")]
+    client, told = rank_client(target, 200, headers)
+    assert curio.run(client.order, Hold(1, 5), 0.1) is OrderResult.TAKEN
+    [(entry, facts)] = told
+    assert entry is target
+    assert (facts.is_leaving, facts.stated_limit.rate_per_s) == (True, 4.0)
 
 
 def test_map_is_written_once_for_all_ranks():
