Pay for a repeat only once there is a target for it

Cause: the budget of repeats was spent before the next target was chosen, so that a request which all targets' rests, limits or loads refused used up another one's repeat. Change: the target is chosen first.

--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -16,8 +16,10 @@
 # Targets that can't be reached have not been asked, so they don't count as attempts;
 # a service with none that can be reached must still get an answer soon.
 UNREACHABLE_LIMIT = 3
-# Results that do not show a target to fail.
 NOT_SENT = (AttemptResult.UNREACHABLE, AttemptResult.WITHHELD)
+# What follows them is no repeat, or has been paid for when the stream left its target.
+NOT_REPEATED = (*NOT_SENT, AttemptResult.LEFT)
+# Results that do not show a target to fail.
 NOT_TO_BLAME = (AttemptResult.DECLINED, AttemptResult.LEFT, AttemptResult.WITHHELD)
 
 
@@ -81,6 +83,8 @@
             chosen, self._next = self._next or self._choose(), None
             if isinstance(chosen, End):
                 return await self._give_up(self._attempts[-1:], chosen)
+            if not self._may_pay_for_repeat():
+                return await self._give_up(self._attempts[-1:], None)
             attempt = Attempt(
                 self._parts, self._request, chosen, self._reply, self._should_leave
             )
@@ -215,12 +219,20 @@
             return len(unreachable) <= UNREACHABLE_LIMIT
         if not attempt.result.is_not_run and not self._request.kind.is_repeatable:
             return False
-        if self._sent_count >= self._request.route.attempt_limit:
-            return False
-        if not self._parts.budgets.try_spend(self._request.service_name):
-            attempt.reason += "; the budget of repeats is spent"
-            return False
-        return True
+        return self._sent_count < self._request.route.attempt_limit
+
+    def _may_pay_for_repeat(self):
+        """Return whether the budget of repeats has room for the next attempt.
+
+        It is asked once a target is chosen: a request that no target can take now must
+        not use up another one's repeat.
+        """
+        if not self._attempts or self._attempts[-1].result in NOT_REPEATED:
+            return True
+        if self._parts.budgets.try_spend(self._request.service_name):
+            return True
+        self._attempts[-1].reason += "; the budget of repeats is spent"
+        return False
 
     async def _answer(self, attempt):
         if attempt.answer is not None:
--- a/siskinthread/platform/tests/test_target_rests.py
+++ b/siskinthread/platform/tests/test_target_rests.py
@@ -4,8 +4,14 @@
 
 from siskinthread.platform.tests.fleet import run_fleet
 from siskinthread.platform.tests.load import Load
-from siskinthread.platform.tests.system import status_of
-from standins.platform_behaviours import answer_whole
+from siskinthread.platform.tests.system import (
+    behave,
+    run_system,
+    SAFE_PATH,
+    status_of,
+)
+from siskinthread.target_limits import StatedRest
+from standins.platform_behaviours import answer_whole, decline, misdirect_with
 from standins.platform_rests import LeavingService, RestingService
 
 # Requests of one entry that a server may get within a rest that it has asked it for.
@@ -111,3 +117,77 @@
     # News come every 0.02 s here.
     assert service.arrivals_behind_the_first_word(after_s=0.5) == []
     assert load.served_share() == 1.0
+
+
+class SlowPool:
+    """Connections whose opening takes until something has happened."""
+
+    def __init__(self, pool, happen):
+        self._pool = pool
+        self._happen = happen
+
+    async def take(self, entry, may_reuse, deadline):
+        """Return a connection to a target."""
+        connection = await self._pool.take(entry, may_reuse, deadline)
+        self._happen(entry)
+        return connection
+
+    async def give_back(self, entry, connection, rest_limit_s):
+        """Close a connection."""
+        await connection.close()
+
+    async def sweep(self, known_ids):
+        """Keep nothing."""
+
+
+@pytest.mark.parametrize("word", ["rest", "leaving"])
+def test_request_is_withheld_if_its_target_speaks_while_it_is_connected(word):
+    """A request that had been chosen before the answer still went out behind it."""
+
+    async def test(system):
+        parts = system.gateway.parts
+        spoken = []
+
+        def speak(entry):
+            if not spoken:
+                spoken.append(entry.instance_id)
+                if word == "rest":
+                    parts.rests.note_answer(entry, 0.0, StatedRest(3.0))
+                else:
+                    parts.targets.note_says_leaving(entry.instance_id)
+
+        parts.pool = SlowPool(parts.pool, speak)
+        response = await system.request(SAFE_PATH)
+        seen = {one.instance_id for one in system.servers if one.seen}
+        spent = parts.budgets._budget("app")._retry_expiries
+        return status_of(response), seen.isdisjoint(spoken), len(spent)
+
+    assert run_system(test) == (200, True, 0)
+
+
+def test_repeat_is_paid_for_only_if_there_is_a_target():
+    """A request that no target could take used up another one's repeat."""
+
+    async def test(system):
+        behave(system, decline)
+        response = await system.request(SAFE_PATH)
+        spent = system.gateway.parts.budgets._budget("app")._retry_expiries
+        return status_of(response), len(spent)
+
+    assert run_system(test, server_count=1) == (503, 0)
+
+
+def test_what_another_instance_asks_for_does_not_concern_the_expected_one():
+    """A server was limited to what the one at its former address takes."""
+
+    async def test(system):
+        behave(system, misdirect_with("Retry-After: 30", "Server-Limit: 1"))
+        response = await system.request(SAFE_PATH)
+        parts = system.gateway.parts
+        return (
+            status_of(response),
+            parts.rests.resting_count(),
+            len(parts.limits._limits),
+        )
+
+    assert run_system(test) == (200, 0, 0)
--- a/standins/platform_behaviours.py
+++ b/standins/platform_behaviours.py
@@ -92,6 +92,16 @@
     await client.sendall(data)
 
 
+def misdirect_with(*headers):
+    """Return a behaviour that says so, and more of the other instance."""
+
+    async def behaviour(server, request, client):
+        data = answer_bytes(request.request_id, "421 Misdirected Request", b"", headers)
+        await client.sendall(data)
+
+    return behaviour
+
+
 async def fail(server, request, client):
     """Run the request and fail."""
     data = answer_bytes(
