--- a/scripts/soak/_faults.py
+++ b/scripts/soak/_faults.py
@@ -22,9 +22,9 @@
 # Part of the fault for which the store goes on after the copy was made.
 COPY_AGE_SHARE = 0.8
 SPOILT_SHARE = 0.08
-# Part of the requests that a server turns away, and the rest that it asks for.
-REST_SHARES = (0.2, 0.6, 1.0)
-RESTS_S = (0.7, 1.5, 3.0)
+# Part of the requests that a server turns away, and the back-off that it requests.
+BACKOFF_SHARES = (0.2, 0.6, 1.0)
+BACKOFFS_S = (0.7, 1.5, 3.0)
 LIMITS_PER_S = ("0", "1", "3", "6.5")
 # What is done to a process itself, and not to its links.
 PROCESS_KINDS = (
@@ -215,15 +215,15 @@
                 NamedLimit(instance_id, float(limit), named_s, ended_s)
             )
 
-    async def ask_for_rest(self, server, fault):
-        """Let a server turn requests away for a while and ask for rest."""
+    async def request_backoff(self, server, fault):
+        """Let a server turn requests away for a while and request back-off."""
         drawn = random.Random(fault.seed)
         instance_id = server.instance_id
-        rest = [drawn.choice(REST_SHARES), drawn.choice(RESTS_S)]
-        await self._state(server, rest=rest)
+        backoff = [drawn.choice(BACKOFF_SHARES), drawn.choice(BACKOFFS_S)]
+        await self._state(server, backoff=backoff)
         await curio.sleep(fault.for_s)
         if server.instance_id == instance_id:
-            await self._state(server, rest=None)
+            await self._state(server, backoff=None)
 
     async def say_leaving(self, server, fault):
         """Let a server leave that says so in its answers only."""
@@ -308,7 +308,7 @@
     "retire server": Faults.retire_server,
     "spoil answers": Faults.spoil_answers,
     "name a limit": Faults.name_limit,
-    "ask for rest": Faults.ask_for_rest,
+    "request back-off": Faults.request_backoff,
     "say leaving": Faults.say_leaving,
     "delay server link": Faults.delay,
     "reset server link": Faults.reset,
--- a/scripts/soak/_plan.py
+++ b/scripts/soak/_plan.py
@@ -51,9 +51,9 @@
 LONG_CUT_SPAN_S = (4.0, 7.0)
 LONG_CUTS_LIMIT = 2
 FAULT_KINDS[LONG_CUT_KIND] = (SERVER, LONG_CUT_SPAN_S)
-REST_KIND = "ask for rest"
-REST_SPAN_S = (1.0, 5.0)
-FAULT_KINDS[REST_KIND] = (LIMITED, REST_SPAN_S)
+BACKOFF_KIND = "request back-off"
+BACKOFF_SPAN_S = (1.0, 5.0)
+FAULT_KINDS[BACKOFF_KIND] = (LIMITED, BACKOFF_SPAN_S)
 LEAVING_KIND = "say leaving"
 FAULT_KINDS[LEAVING_KIND] = (SERVER, (0.0, 0.0))
 LEAVINGS_LIMIT = 2
@@ -128,7 +128,7 @@
     faults += _draw_restores(seed, trouble_s)
     faults += _draw_limits(seed, trouble_s, server_count)
     faults += _draw_long_cuts(seed, trouble_s, server_count)
-    faults += _draw_rests(seed, trouble_s, server_count)
+    faults += _draw_backoffs(seed, trouble_s, server_count)
     faults += _draw_leavings(seed, trouble_s, server_count)
     return sorted(faults, key=lambda fault: fault.at_s)
 
@@ -168,15 +168,17 @@
     return cuts
 
 
-def _draw_rests(seed, trouble_s, server_count):
-    """Return when servers ask for rest in a seed: none, some, or all of them do."""
-    drawn = random.Random(f"rests {seed}")
-    rests = []
+def _draw_backoffs(seed, trouble_s, server_count):
+    """Return when servers request back-off in a seed: none, some, or all of them do."""
+    drawn = random.Random(f"backoffs {seed}")
+    backoffs = []
     for server in drawn.sample(range(server_count), drawn.randint(0, server_count)):
-        for_s = min(drawn.uniform(*REST_SPAN_S), trouble_s)
+        for_s = min(drawn.uniform(*BACKOFF_SPAN_S), trouble_s)
         at_s = drawn.uniform(0.0, trouble_s - for_s)
-        rests.append(Fault(REST_KIND, server, at_s, for_s, drawn.randrange(2**31)))
-    return rests
+        backoffs.append(
+            Fault(BACKOFF_KIND, server, at_s, for_s, drawn.randrange(2**31))
+        )
+    return backoffs
 
 
 def _draw_leavings(seed, trouble_s, server_count):
--- a/scripts/soak/_promises.py
+++ b/scripts/soak/_promises.py
@@ -20,8 +20,8 @@
 LEFT_BEHIND_S = 0.5
 REGRESS_S = 0.25
 ARRIVED_LATE_S = 0.5
-REST_SLACK_S = 0.5
-REST_COUNT = 2
+BACKOFF_SLACK_S = 0.5
+BACKOFF_COUNT = 2
 LIMIT_SETTLED_S = 3.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
@@ -233,18 +233,18 @@
     return _is_in_touch(records, gateway, limit.named_s, run["arrived_s"])
 
 
-def rest_ignored(records, runs):
-    """Servers that got requests of a gateway that they had asked for rest."""
+def backoff_ignored(records, runs):
+    """Servers that got requests of a gateway that they had requested back-off of."""
     gateways = {call.request_id: call.gateway for call in records.calls}
     broken = []
     for instance_id, of_server in records.runs.items():
         server = ("server", records.server_of[instance_id])
         for asked in of_server:
             gateway = gateways.get(asked["request_id"])
-            if gateway is None or not asked["rest_asked_s"]:
+            if gateway is None or not asked["backoff_asked_s"]:
                 continue
-            from_s = asked["refused_s"] + REST_SLACK_S
-            until_s = asked["refused_s"] + asked["rest_asked_s"]
+            from_s = asked["refused_s"] + BACKOFF_SLACK_S
+            until_s = asked["refused_s"] + asked["backoff_asked_s"]
             count = sum(
                 from_s < run["arrived_s"] < until_s
                 and not run["is_misdirected"]
@@ -253,10 +253,10 @@
             )
             is_link_calm = records.disruptions.is_calm(server, from_s, until_s)
             in_touch = _is_in_touch(records, gateway, asked["refused_s"], until_s)
-            if count > REST_COUNT and is_link_calm and in_touch:
+            if count > BACKOFF_COUNT and is_link_calm and in_touch:
                 broken.append(
-                    f"{instance_id} got {count} requests of {gateway} in a rest of "
-                    f"{asked['rest_asked_s']} s from {asked['refused_s']:.2f}"
+                    f"{instance_id} got {count} requests of {gateway} in a back-off of "
+                    f"{asked['backoff_asked_s']} s from {asked['refused_s']:.2f}"
                 )
     return broken
 
@@ -367,7 +367,7 @@
     worked_on_for_nobody,
     arrived_after_the_end,
     limit_exceeded,
-    rest_ignored,
+    backoff_ignored,
     used_after_it_said_so,
     not_kept_off,
     refused_for_another,
--- a/scripts/soak/tests/test_plan.py
+++ b/scripts/soak/tests/test_plan.py
@@ -2,10 +2,10 @@
 
 from scripts.soak._faults import _WAYS
 from scripts.soak._plan import (
+    BACKOFF_KIND,
     draw_plan,
     FAULT_KINDS,
     LEAVING_KIND,
-    REST_KIND,
     RESTORE_KIND,
 )
 
@@ -41,6 +41,6 @@
 def test_some_seeds_bring_servers_that_rest_or_say_that_they_leave():
     """Beside all other faults, and overlapping with limits."""
     plans = [draw_plan(seed, 12.0, 3, 4) for seed in range(50)]
-    for kind, most in ((REST_KIND, 4), (LEAVING_KIND, 2)):
+    for kind, most in ((BACKOFF_KIND, 4), (LEAVING_KIND, 2)):
         counts = [sum(fault.kind == kind for fault in plan) for plan in plans]
         assert set(counts) == set(range(most + 1))
--- a/scripts/soak/tests/test_promises.py
+++ b/scripts/soak/tests/test_promises.py
@@ -52,7 +52,7 @@
         "ran": True,
         "answered": True,
         "is_misdirected": False,
-        "rest_asked_s": 0.0,
+        "backoff_asked_s": 0.0,
         "refused_s": None,
         "said_leaving": False,
     }
@@ -116,8 +116,8 @@
     CallRecord(f"soak-{n}", "safe", "/safe/x", GATEWAY, answer(), *2 * [AT_S + n / 20])
     for n in range(12)
 ]
-ASKED = run(CROWD[0].request_id, ran=False, rest_asked_s=3.0, refused_s=AT_S)
-IN_THE_REST = [run(CROWD[n].request_id, AT_S + n) for n in (1, 2)]
+ASKED = run(CROWD[0].request_id, ran=False, backoff_asked_s=3.0, refused_s=AT_S)
+IN_THE_BACKOFF = [run(CROWD[n].request_id, AT_S + n) for n in (1, 2)]
 WORD = call(seen=answer(body=b""), request_id="soak-7")
 BEHIND_THE_WORD = CallRecord(
     "soak-8", "safe", "/safe/x", GATEWAY, answer(), *2 * [AT_S + 2.5]
@@ -156,8 +156,8 @@
         [run(one.request_id, one.started_s) for one in CROWD],
         limits=[NamedLimit("i-1", 1.0, AT_S - 4, AT_S + 9)],
     ),
-    "rest_ignored": records(
-        CROWD, [ASKED, *IN_THE_REST, run(CROWD[3].request_id, AT_S + 2.9)]
+    "backoff_ignored": records(
+        CROWD, [ASKED, *IN_THE_BACKOFF, run(CROWD[3].request_id, AT_S + 2.9)]
     ),
     "used_after_it_said_so": records(
         [WORD, BEHIND_THE_WORD],
@@ -243,8 +243,10 @@
 
 def test_two_requests_in_a_rest_are_allowed():
     """What was under way when the answer came may still arrive."""
-    noted = records(CROWD, [ASKED, *IN_THE_REST, run(CROWD[3].request_id, AT_S + 0.4)])
-    assert broken(_promises.rest_ignored, noted) == []
+    noted = records(
+        CROWD, [ASKED, *IN_THE_BACKOFF, run(CROWD[3].request_id, AT_S + 0.4)]
+    )
+    assert broken(_promises.backoff_ignored, noted) == []
 
 
 def test_only_a_restart_or_a_freeze_excuses_requests_after_the_leaving_was_said():
--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -28,7 +28,7 @@
     LOST = "lost"
     # The stream was left within its answer, to go on at another target.
     LEFT = "left"
-    # Not sent: since the choice the target came to rest, or to leave.
+    # Not sent: since the choice the target requested back-off, or said that it leaves.
     WITHHELD = "withheld"
 
     @property
@@ -105,7 +105,7 @@
         Whether another rank of the target's group is what failed.
     has_free_slots : bool
         Whether the target, as its answer says, has slots that are free.
-    rest_asked_s : float
+    backoff_asked_s : float
         For how long the target wants no more requests, seconds.
     says_leaving : bool
         Whether the target says that it leaves.
@@ -129,7 +129,7 @@
         "list_age_s",
         "load_when_chosen",
         "reason",
-        "rest_asked_s",
+        "backoff_asked_s",
         "rested_s",
         "result",
         "says_leaving",
@@ -154,7 +154,7 @@
         self.is_group_fault = False
         self.is_stale = False
         self.has_free_slots = True
-        self.rest_asked_s = 0.0
+        self.backoff_asked_s = 0.0
         self.says_leaving = False
         self.load_when_chosen = parts.loads.total(entry.instance_id)
         self.list_age_s = parts.targets.age_s()
@@ -237,19 +237,19 @@
         Opening a connection takes time, in which answers to other requests come.
         """
         instance_id = self.entry.instance_id
-        is_resting = self._parts.rests.is_resting(instance_id)
-        return not is_resting and not self._parts.targets.has_left(instance_id)
+        is_backed_off = self._parts.backoffs.is_backed_off(instance_id)
+        return not is_backed_off and not self._parts.targets.has_left(instance_id)
 
     def _note_statements(self, facts, sent_at_s):
         """Take what the target says of itself."""
         parts = self._parts
-        self.rest_asked_s = facts.stated_rest.wait_s
+        self.backoff_asked_s = facts.stated_backoff.wait_s
         self.says_leaving = facts.is_leaving
         if facts.load is not None:
             self.has_free_slots = facts.load.running < facts.load.slot_count
             parts.loads.report(self.entry.instance_id, facts.load)
         parts.limits.note_answer(self.entry, sent_at_s, facts.stated_limit)
-        parts.rests.note_answer(self.entry, sent_at_s, facts.stated_rest)
+        parts.backoffs.note_answer(self.entry, sent_at_s, facts.stated_backoff)
         parts.note_demands(self.entry, facts)
 
     def _is_awaited(self, head):
--- a/siskinthread/gateway/_avoided_targets.py
+++ b/siskinthread/gateway/_avoided_targets.py
@@ -17,7 +17,7 @@
 
 
 class AvoidedTargets:
-    """Targets that have declined requests lately, or asked another entry for rest.
+    """Targets that have declined requests lately, or asked another entry to back off.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
         self._settings = settings
         self._clock = clock
         self._declines = {}
-        # Until when targets rest that have asked peers for it.
+        # Until when targets are backed off that have asked peers for it.
         self._told = {}
 
     def declined(self, instance_id):
@@ -66,16 +66,19 @@
         self._declines.pop(instance_id, None)
 
     def hear(self, statements, told_by):
-        """Take each `RestStatement` of a peer."""
+        """Take each `BackoffStatement` of a peer."""
         for statement in statements:
             known = self._told.get(statement.instance_id)
-            if known is None and len(self._told) >= self._settings.rests.targets_limit:
+            if (
+                known is None
+                and len(self._told) >= self._settings.backoff.targets_limit
+            ):
                 continue
-            wait_s = statement.left_s + self._settings.rests.told_margin_s
+            wait_s = statement.left_s + self._settings.backoff.told_margin_s
             end = Deadline.after(self._clock, wait_s)
             if known is None or known.passed():
                 _logger.event(
-                    "target rests as a peer tells",
+                    "target backed off as a peer tells",
                     target=statement.instance_id,
                     left_s=round(statement.left_s, 3),
                     told_by=told_by,
@@ -93,7 +96,7 @@
         self._declines.pop(instance_id, None)
 
     def drop_over(self):
-        """Forget rests that are over, and declines of long ago."""
+        """Forget back-offs that are over, and declines of long ago."""
         for instance_id in [one for one, end in self._told.items() if end.passed()]:
             del self._told[instance_id]
         oldest_s = self._clock.monotonic_s() - self._settings.avoided_memory_s
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -90,7 +90,7 @@
             )
             self._attempts.append(attempt)
             self._parts.limits.note_sent(chosen.instance_id)
-            self._parts.rests.note_sent(chosen.instance_id)
+            self._parts.backoffs.note_sent(chosen.instance_id)
             await attempt.run()
             self._note(attempt)
             await self._note_for_others(attempt)
@@ -114,7 +114,7 @@
                 "target_ended": attempt.has_target_ended,
                 "list_age_s": _rounded(attempt.list_age_s),
                 "rested_s": _rounded(attempt.rested_s),
-                "rest_asked_s": attempt.rest_asked_s,
+                "backoff_asked_s": attempt.backoff_asked_s,
                 "says_leaving": attempt.says_leaving,
             }
             for attempt in self._attempts
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -117,10 +117,11 @@
             "gateway_limited_targets", "Targets that have named a limit."
         )
         limited.set_function(self.parts.limits.limited_count)
-        resting = metrics.gauge(
-            "gateway_resting_targets", "Targets that want no request from this entry."
+        backed_off = metrics.gauge(
+            "gateway_backed_off_targets",
+            "Targets that want no request from this entry.",
         )
-        resting.set_function(self.parts.rests.resting_count)
+        backed_off.set_function(self.parts.backoffs.backed_off_count)
         self.control_home = ControlHome(
             settings,
             failure_domain,
@@ -150,7 +151,7 @@
         peers.take_listing = self._target_follower.hear
         peers.poison = self.parts.poison
         peers.limits = self.parts.limits
-        peers.take_rests = self.parts.avoided.hear
+        peers.take_backoffs = self.parts.avoided.hear
         peers.take_leaving = self.parts.targets.hear_leaving
         self.parts.limits.peers = peers
         self._target_follower.peers = peers
@@ -287,7 +288,7 @@
             slow_targets=self.parts.slow_targets.own_ids(),
             limits=self.parts.limits.statements(),
             asked_rates=self.parts.limits.asked_rates(),
-            rests=self.parts.rests.statements(),
+            backoffs=self.parts.backoffs.statements(),
             leaving=self.parts.targets.leaving_statements(),
         )
 
@@ -296,7 +297,7 @@
         while True:
             await curio.sleep(self._settings.upkeep_interval_s)
             self.parts.accounts.sample()
-            self.parts.rests.drop_over()
+            self.parts.backoffs.drop_over()
             self.parts.avoided.drop_over()
             entries = self.parts.targets.entries()
             serving = {one.instance_id for one in entries if not one.is_leaving}
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -11,7 +11,7 @@
 from siskinthread.gateway._target_pool import TargetPool
 from siskinthread.poison_requests import PoisonRegister
 from siskinthread.retry_budget import FleetPart, ServiceRetryBudgets
-from siskinthread.target_limits import TargetLimits, TargetRests
+from siskinthread.target_limits import TargetBackoffs, TargetLimits
 
 
 class Measures:
@@ -23,7 +23,7 @@
         The registry.
     """
 
-    __slots__ = ("_attempts", "_requests", "_rests", "_seconds")
+    __slots__ = ("_attempts", "_requests", "_backoffs", "_seconds")
 
     def __init__(self, metrics):
         self._requests = metrics.counter(
@@ -34,9 +34,9 @@
         self._attempts = metrics.counter(
             "gateway_attempts", "Attempts at targets by result.", ("result",)
         )
-        self._rests = metrics.counter(
-            "gateway_rests_asked",
-            "Answers that asked for rest, by service.",
+        self._backoffs = metrics.counter(
+            "gateway_backoffs_requested",
+            "Answers that requested back-off, by service.",
             ("service",),
         )
         self._seconds = metrics.histogram(
@@ -49,9 +49,9 @@
         """Count an attempt by its `AttemptResult`."""
         self._attempts.labels(result.value).inc()
 
-    def rest_asked(self, service_name):
-        """Count an answer that asked for rest."""
-        self._rests.labels(service_name).inc()
+    def backoff_requested(self, service_name):
+        """Count an answer that requested back-off."""
+        self._backoffs.labels(service_name).inc()
 
     def request_ended(self, route_name, status, outcome, took_s):
         """Count a request."""
@@ -92,7 +92,7 @@
         "pool",
         "progress",
         "random",
-        "rests",
+        "backoffs",
         "retry_part",
         "settings",
         "slow_targets",
@@ -117,7 +117,7 @@
         self.slow_targets = SlowTargets(settings, clock)
         self.poison = PoisonRegister(settings.poison, clock)
         self.limits = TargetLimits(settings.limits, clock, random)
-        self.rests = TargetRests(settings.rests, clock, random)
+        self.backoffs = TargetBackoffs(settings.backoff, clock, random)
         self.avoided = AvoidedTargets(settings, clock)
         self.targets.listen(self._forget)
         self.choice = TargetChoice(
@@ -130,7 +130,7 @@
             self.accounts,
             self.slow_targets,
             self.limits,
-            self.rests,
+            self.backoffs,
             self.avoided,
             random,
         )
@@ -145,8 +145,8 @@
         facts : AnswerFacts
             What its answer states.
         """
-        if facts.stated_rest.wait_s > 0:
-            self.measures.rest_asked(entry.service_name)
+        if facts.stated_backoff.wait_s > 0:
+            self.measures.backoff_requested(entry.service_name)
         if facts.is_leaving:
             self.targets.note_says_leaving(entry.instance_id)
 
@@ -158,8 +158,8 @@
         """
         if facts.stated_limit.rate_per_s is not None:
             self.limits.note_answer(entry, sent_at_s, facts.stated_limit)
-        if facts.stated_rest.wait_s > 0:
-            self.rests.note_answer(entry, sent_at_s, facts.stated_rest)
+        if facts.stated_backoff.wait_s > 0:
+            self.backoffs.note_answer(entry, sent_at_s, facts.stated_backoff)
         self.note_demands(entry, facts)
 
     def _forget(self, entry):
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -145,7 +145,7 @@
         Whether the connection ends with this answer.
     stated_limit : siskinthread.target_limits.StatedLimit
         What it says of the rate of requests that the target takes.
-    stated_rest : siskinthread.target_limits.StatedRest
+    stated_backoff : siskinthread.target_limits.StatedBackoff
         For how long the target wants no request from this entry.
     is_leaving : bool
         Whether it says that the target leaves.
@@ -161,7 +161,7 @@
         "request_id",
         "rest_limit_s",
         "stated_limit",
-        "stated_rest",
+        "stated_backoff",
     )
 
     def __init__(
@@ -174,7 +174,7 @@
         rest_limit_s,
         closes,
         stated_limit,
-        stated_rest,
+        stated_backoff,
         is_leaving,
     ):
         self.request_id = request_id
@@ -185,5 +185,5 @@
         self.rest_limit_s = rest_limit_s
         self.closes = closes
         self.stated_limit = stated_limit
-        self.stated_rest = stated_rest
+        self.stated_backoff = stated_backoff
         self.is_leaving = is_leaving
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -2,7 +2,7 @@
 
 from siskinthread.poison_requests import PoisonSettings
 from siskinthread.settings import Item, Section
-from siskinthread.target_limits import TargetLimitSettings, TargetRestSettings
+from siskinthread.target_limits import TargetBackoffSettings, TargetLimitSettings
 
 
 class GatewaySettings(Section):
@@ -447,9 +447,9 @@
         TargetLimitSettings,
         description="Rates that targets in need name, and how they are shared.",
     )
-    rests = Item(
-        TargetRestSettings,
-        description="Return to targets that have asked this entry for rest.",
+    backoff = Item(
+        TargetBackoffSettings,
+        description="Return to targets that have requested back-off of this entry.",
     )
     poison = Item(
         PoisonSettings,
--- a/siskinthread/gateway/_target_choice.py
+++ b/siskinthread/gateway/_target_choice.py
@@ -26,7 +26,7 @@
         Which targets hold others back.
     limits : siskinthread.target_limits.TargetLimits
         Which targets take a limited rate of requests.
-    rests : siskinthread.target_limits.TargetRests
+    backoffs : siskinthread.target_limits.TargetBackoffs
         Which targets want no request from this entry.
     avoided : AvoidedTargets
         Which targets get a request only if no other one can take it.
@@ -57,7 +57,7 @@
         "_loads",
         "_progress",
         "_random",
-        "_rests",
+        "_backoffs",
         "_settings",
         "_slow_targets",
         "_targets",
@@ -75,14 +75,14 @@
         accounts,
         slow_targets,
         limits,
-        rests,
+        backoffs,
         avoided,
         random,
     ):
         self._avoided = avoided
         self._slow_targets = slow_targets
         self._limits = limits
-        self._rests = rests
+        self._backoffs = backoffs
         self._settings = settings
         self._failure_domain = failure_domain
         self._targets = targets
@@ -112,12 +112,14 @@
         if not fresh:
             return self._refusal(Reason.NO_TARGET, request, "No target can take it.")
         may_try = request.route.attempt_limit > len(tried_ids) + 1
-        rested = self._rests.admitted(fresh, may_try)
-        if not rested:
-            return self._refusal_for_rests(request, fresh)
-        admitted = self._limits.admitted(rested, request.service_name, request.priority)
+        open_ones = self._backoffs.admitted(fresh, may_try)
+        if not open_ones:
+            return self._refusal_for_backoff(request, fresh)
+        admitted = self._limits.admitted(
+            open_ones, request.service_name, request.priority
+        )
         if not admitted:
-            return self._refusal_for_limits(request, rested)
+            return self._refusal_for_limits(request, open_ones)
         trusted = self._trusted(admitted)
         tried_groups = {self.group_of(one) for one in tried_ids} - {None}
         # What has just failed in one rank of a group fails in all of them.
@@ -324,17 +326,17 @@
             ),
         )
 
-    def _refusal_for_rests(self, request, resting):
-        """Return the refusal of a request whose targets all want rest."""
+    def _refusal_for_backoff(self, request, backed_off):
+        """Return the refusal of a request whose targets all requested back-off."""
         service_name = request.service_name
-        described = self._rests.describe(resting[0].instance_id)
+        described = self._backoffs.describe(backed_off[0].instance_id)
         return End(
             Outcome.REFUSED_NOT_RUN,
             Reason.OVERLOADED,
-            message=f"All {len(resting)} targets that could take it want rest: "
-            f"{described}.",
-            retry_after_s=self._rests.come_back_after_s(
-                resting,
+            message=f"All {len(backed_off)} targets that could take it requested "
+            f"back-off: {described}.",
+            retry_after_s=self._backoffs.come_back_after_s(
+                backed_off,
                 self._limits.own_asked_per_s(service_name),
                 request.deadline.left_s() * self._settings.return_limit_share,
             ),
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -2,8 +2,8 @@
 
 from collections import OrderedDict
 
+from siskinthread.gateway._departures import Departures
 from siskinthread.observability import part_logger
-from siskinthread.peer_news import LeavingStatement
 from siskinthread.timing import Deadline
 
 # Targets that are gone and still remembered: all of a fleet of 600 that is replaced
@@ -89,15 +89,14 @@
     __slots__ = (
         "_clock",
         "_confirmed_at_s",
+        "_departures",
         "_entries",
         "_gone",
         "_grace",
         "_lapsed",
-        "_left",
         "_listed",
         "_listeners",
         "_replaced",
-        "_said_leaving",
         "_settings",
     )
 
@@ -109,11 +108,7 @@
         self._listed = {}
         # Ids of entries that vanished, and still count until the grace ends.
         self._lapsed = set()
-        # Ids that announced their leaving, the latest last; a late report, or a peer
-        # that has not heard of it, must not bring them back.
-        self._left = OrderedDict()
-        # When an answer of a target said that it leaves, monotonic seconds.
-        self._said_leaving = {}
+        self._departures = Departures(settings, clock)
         # Instances whose targets have started anew; a late report of an earlier start
         # must not displace the later one.
         self._replaced = set()
@@ -151,10 +146,10 @@
         self._note_restart(entry)
         known = self._entries.get(entry.instance_id)
         self._lapsed.discard(entry.instance_id)
-        if entry.instance_id in self._left:
+        if entry.instance_id in self._departures:
             return
         if entry.is_leaving:
-            self._note_left(entry.instance_id)
+            self._departures.add(entry.instance_id)
         self._gone.pop(entry.instance_id, None)
         self._entries[entry.instance_id] = entry
         self._listed[entry.listed_id] = entry.instance_id
@@ -267,9 +262,9 @@
         told_by : str
             What said so, for the log.
         """
-        if instance_id in self._left:
+        if instance_id in self._departures:
             return
-        self._note_left(instance_id)
+        self._departures.add(instance_id)
         _logger.event("target leaves", target=instance_id, told_by=told_by)
         entry = self._entries.get(instance_id)
         if entry is not None:
@@ -278,32 +273,17 @@
 
     def note_says_leaving(self, instance_id):
         """Note that an answer of a target says that it leaves."""
-        if instance_id not in self._said_leaving:
-            self._said_leaving[instance_id] = self._clock.monotonic_s()
+        self._departures.note_said(instance_id)
         self.note_leaving(instance_id, "its answer")
 
     def hear_leaving(self, statements, told_by):
         """Take each `LeavingStatement` of a peer."""
-        now_s = self._clock.monotonic_s()
-        for statement in statements:
-            is_told_late = statement.age_s >= self._settings.leaving_told_s
-            if is_told_late or statement.instance_id in self._said_leaving:
-                continue
-            self._said_leaving[statement.instance_id] = now_s - statement.age_s
-            self.note_leaving(statement.instance_id, told_by)
+        for instance_id in self._departures.take_new(statements):
+            self.note_leaving(instance_id, told_by)
 
     def leaving_statements(self):
-        """Return what peers should be told, a bounded number of `LeavingStatement`."""
-        now_s = self._clock.monotonic_s()
-        told_s = self._settings.leaving_told_s
-        for instance_id, at_s in list(self._said_leaving.items()):
-            if now_s - at_s >= told_s:
-                del self._said_leaving[instance_id]
-        newest = sorted(self._said_leaving.items(), key=lambda said: -said[1])
-        return [
-            LeavingStatement(instance_id, now_s - at_s)
-            for instance_id, at_s in newest[: self._settings.leaving_told_limit]
-        ]
+        """Return what peers should be told, a list of `LeavingStatement`."""
+        return self._departures.statements()
 
     def expire_lapsed(self):
         """Remove lapsed entries that did not come back in time."""
@@ -323,7 +303,7 @@
 
     def has_left(self, instance_id):
         """Return whether a target has said that it leaves."""
-        return instance_id in self._left
+        return instance_id in self._departures
 
     def is_serving(self, instance_id):
         """Return whether a target is listed and has not said that it leaves."""
@@ -334,11 +314,6 @@
         """Return all entries."""
         return list(self._entries.values())
 
-    def _note_left(self, instance_id):
-        self._left[instance_id] = None
-        while len(self._left) > GONE_LIMIT:
-            self._left.popitem(last=False)
-
     def _note_restart(self, entry):
         """Remove the instance that an entry's target was before it started anew."""
         earlier_id = self._listed.get(entry.listed_id, entry.instance_id)
--- a/siskinthread/gateway/tests/rest_model.py
+++ b/siskinthread/gateway/tests/backoff_model.py
@@ -1,8 +1,8 @@
-"""A model of entries before targets that ask for rest, under a simulated clock.
+"""A model of entries before targets that request back-off, under a simulated clock.
 
-``python -m siskinthread.gateway.tests.rest_model --seeds 1000`` prints for each number
-of entries, and for entries that tell one another of rests or don't, how often a target
-got too much in a rest, how much was served and how many tries that took.
+``python -m siskinthread.gateway.tests.backoff_model --seeds 1000`` prints for each
+number of entries, and for entries that tell one another of back-offs or don't, how
+often a target got too much in one, how much was served and how many tries that took.
 """
 
 import argparse
@@ -17,14 +17,14 @@
 from siskinthread.gateway.tests.test_table import build_route
 from siskinthread.observability import Metrics
 from siskinthread.outcomes import End
-from siskinthread.target_limits import StatedRest
+from siskinthread.target_limits import StatedBackoff
 from siskinthread.timing import Deadline, ManualClock
 
 RUN_S = 9.0
-REST_S = 3.0
+BACKOFF_S = 3.0
 # Arrivals count from so long after the answer, and two are allowed.
-REST_SLACK_S = 0.5
-REST_COUNT = 2
+BACKOFF_SLACK_S = 0.5
+BACKOFF_COUNT = 2
 WORK_S = 0.04
 # Way of a request or an answer, and how much later some are.
 WAY_S = 0.0005
@@ -39,11 +39,11 @@
 ATTEMPT_LIMIT = 2
 # Entries, targets, and requests a second of each entry.
 SIZES = ((2, 4, 10.0), (38, 9, 2.0), (300, 75, 0.5))
-RESTING_SHARE = 0.25
+BACKOFF_SHARE = 0.25
 
 
 class Target:
-    """A target that asks for rest, or serves.
+    """A target that requests back-off, or serves.
 
     Parameters
     ----------
@@ -59,15 +59,15 @@
         self.arrivals = []
         self.asked = []
 
-    def most_in_a_rest(self):
-        """Return the most requests of one entry in a rest asked of it."""
+    def most_in_a_backoff(self):
+        """Return the most requests of one entry in a back-off asked of it."""
         by_sender = {}
         for sender, at_s in self.arrivals:
             by_sender.setdefault(sender, []).append(at_s)
         return max(
             (
                 sum(
-                    asked_s + REST_SLACK_S < at_s < asked_s + REST_S
+                    asked_s + BACKOFF_SLACK_S < at_s < asked_s + BACKOFF_S
                     for at_s in by_sender[sender]
                 )
                 for sender, asked_s in self.asked
@@ -97,10 +97,10 @@
     seed : int
         Of everything that is drawn.
     tell : bool
-        Whether entries tell one another of rests.
+        Whether entries tell one another of back-offs.
     asks_s : float
         Until when a part of the targets turns requests away.
-    resting_share : float
+    backoff_share : float
         That part.
 
     Attributes
@@ -110,7 +110,7 @@
     """
 
     def __init__(
-        self, size, seed, tell=True, asks_s=RUN_S, resting_share=RESTING_SHARE
+        self, size, seed, tell=True, asks_s=RUN_S, backoff_share=BACKOFF_SHARE
     ):
         entry_count, target_count, self._rate_per_s = size
         self._random = random.Random(seed)
@@ -118,9 +118,9 @@
         self._began_at_s = self._clock.monotonic_s()
         self._tell = tell
         listed = [entry(f"i-{number}") for number in range(target_count)]
-        resting_count = max(1, round(resting_share * target_count))
+        backed_off_count = max(1, round(backoff_share * target_count))
         self.targets = {
-            one.instance_id: Target(one, asks_s if number < resting_count else 0.0)
+            one.instance_id: Target(one, asks_s if number < backed_off_count else 0.0)
             for number, one in enumerate(listed)
         }
         self._senders = []
@@ -134,7 +134,7 @@
         self.asked_count = self.served_count = self.try_count = 0
 
     def play(self):
-        """Play the run; return the most requests that a target got in a rest."""
+        """Play the run; return the most requests that a target got in a back-off."""
         self._at(0.0, self._on_request, None)
         self._at(NEWS_INTERVAL_S, self._on_news, None)
         while self._events:
@@ -142,7 +142,7 @@
             step_s = self._began_at_s + at_s - self._clock.monotonic_s()
             self._clock.advance(max(0.0, step_s))
             happen(at_s, value)
-        return max(target.most_in_a_rest() for target in self.targets.values())
+        return max(target.most_in_a_backoff() for target in self.targets.values())
 
     def _at(self, at_s, happen, value):
         heapq.heappush(self._events, (at_s, next(self._orders), happen, value))
@@ -173,7 +173,7 @@
             return
         call.tried.append(chosen.instance_id)
         call.sender.loads.started(chosen.instance_id)
-        call.sender.rests.note_sent(chosen.instance_id)
+        call.sender.backoffs.note_sent(chosen.instance_id)
         opening_s = 0.0
         if self._random.random() < OPENING_SHARE:
             opening_s = self._random.random() * OPENING_S
@@ -181,7 +181,7 @@
 
     def _on_opened(self, at_s, value):
         call, instance_id = value
-        if call.sender.rests.is_resting(instance_id):
+        if call.sender.backoffs.is_backed_off(instance_id):
             call.sender.loads.ended(instance_id)
             self._choose(at_s, call)
             return
@@ -194,11 +194,11 @@
         target = self.targets[instance_id]
         target.arrivals.append((call.sender, at_s))
         self.try_count += 1
-        stated = StatedRest()
+        stated = StatedBackoff()
         back_s = at_s + WORK_S
         if at_s < target.asks_s:
             target.asked.append((call.sender, at_s))
-            stated = StatedRest(REST_S)
+            stated = StatedBackoff(BACKOFF_S)
             back_s = at_s
         answer = call, instance_id, sent_at_s, stated
         self._at(back_s + self._way_s(), self._on_answer, answer)
@@ -212,7 +212,7 @@
             self._try_again(at_s, call)
             return
         listed = self.targets[instance_id].listed
-        sender.rests.note_answer(listed, sent_at_s, stated)
+        sender.backoffs.note_answer(listed, sent_at_s, stated)
         if stated.wait_s:
             sender.avoided.declined(instance_id)
             self._try_again(at_s, call)
@@ -228,7 +228,7 @@
     def _on_news(self, at_s, value):
         if at_s > RUN_S or not self._tell:
             return
-        told = [(sender, sender.rests.statements()) for sender in self._senders]
+        told = [(sender, sender.backoffs.statements()) for sender in self._senders]
         told = [(sender, statements) for sender, statements in told if statements]
         for hearer in self._senders:
             for sender, statements in told:
@@ -261,8 +261,8 @@
             tries = sum(run.try_count for run in runs)
             print(
                 f"{size[0]:4} entries, {'told' if tell else 'alone'}: "
-                f"{sum(one > REST_COUNT for one in most)} of {len(most)} broken, most "
-                f"{max(most)}; served {served / asked:.4f}, "
+                f"{sum(one > BACKOFF_COUNT for one in most)} of {len(most)} broken, "
+                f"most {max(most)}; served {served / asked:.4f}, "
                 f"{tries / max(1, served):.3f} tries a served request",
                 flush=True,
             )
--- a/siskinthread/gateway/tests/test_avoided_targets.py
+++ b/siskinthread/gateway/tests/test_avoided_targets.py
@@ -4,7 +4,7 @@
 
 from siskinthread.gateway._avoided_targets import AvoidedTargets
 from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
-from siskinthread.target_limits import RestStatement
+from siskinthread.target_limits import BackoffStatement
 
 STEP_S = 0.01
 ENTRIES = [entry("i-1"), entry("i-2")]
@@ -51,10 +51,10 @@
     assert avoided.without(ENTRIES) == ENTRIES
 
 
-def test_rest_that_a_peer_tells_of_is_awaited_with_a_margin():
-    """All entries tried a target at the end of a rest that one was asked for."""
+def test_backoff_that_a_peer_tells_of_is_awaited_with_a_margin():
+    """All entries tried a target at the end of a back-off that one was asked for."""
     avoided, now = build()
-    avoided.hear([RestStatement("i-1", 1.0)], "peer")
+    avoided.hear([BackoffStatement("i-1", 1.0)], "peer")
     assert avoided_s(avoided, now) == pytest.approx(1.3, abs=1.1 * STEP_S)
 
 
@@ -62,7 +62,7 @@
     """Targets of months ago take no memory."""
     avoided, now = build()
     avoided.declined("i-1")
-    avoided.hear([RestStatement("i-2", 1.0)], "peer")
+    avoided.hear([BackoffStatement("i-2", 1.0)], "peer")
     now.advance(SETTINGS.avoided_memory_s + 1.0)
     avoided.drop_over()
     assert (avoided._declines, avoided._told) == ({}, {})
--- a/siskinthread/gateway/tests/test_target_choice.py
+++ b/siskinthread/gateway/tests/test_target_choice.py
@@ -16,7 +16,7 @@
 from siskinthread.gateway.tests.parts import clock, entry, SETTINGS
 from siskinthread.gateway.tests.test_table import build_route
 from siskinthread.outcomes import End, Outcome, Reason
-from siskinthread.target_limits import StatedRest, TargetLimits, TargetRests
+from siskinthread.target_limits import StatedBackoff, TargetBackoffs, TargetLimits
 from siskinthread.timing import Deadline
 
 
@@ -72,7 +72,7 @@
         self.accounts = AccountShares(SETTINGS, self.clock)
         self.slow_targets = SlowTargets(SETTINGS, self.clock)
         self.limits = TargetLimits(SETTINGS.limits, self.clock, random.Random(2))
-        self.rests = TargetRests(SETTINGS.rests, self.clock, random.Random(2))
+        self.backoffs = TargetBackoffs(SETTINGS.backoff, self.clock, random.Random(2))
         self.avoided = AvoidedTargets(SETTINGS, self.clock)
         self.choice = TargetChoice(
             SETTINGS,
@@ -84,7 +84,7 @@
             self.accounts,
             self.slow_targets,
             self.limits,
-            self.rests,
+            self.backoffs,
             self.avoided,
             random.Random(1),
         )
@@ -342,27 +342,27 @@
     assert parts.choose() == "i-1"
 
 
-def ask_for_rest(parts, target, wait_s):
-    """Let a target ask for rest in an answer that comes now."""
+def request_backoff(parts, target, wait_s):
+    """Let a target request back-off in an answer that comes now."""
     now_s = parts.clock.monotonic_s()
-    parts.rests.note_answer(target, now_s, StatedRest(wait_s))
+    parts.backoffs.note_answer(target, now_s, StatedBackoff(wait_s))
 
 
-def test_resting_target_is_not_chosen_though_all_others_fail():
+def test_backed_off_target_is_not_chosen_though_all_others_fail():
     """A target that wants no request must not be the better try than none."""
-    resting, failing = entry("i-1"), entry("i-2")
-    parts = Parts(resting, failing)
-    ask_for_rest(parts, resting, 3.0)
+    backed_off, failing = entry("i-1"), entry("i-2")
+    parts = Parts(backed_off, failing)
+    request_backoff(parts, backed_off, 3.0)
     parts.health.failed("i-2", "status 500")
     assert {parts.choose() for _ in range(20)} == {"i-2"}
 
 
-def test_callers_of_resting_targets_are_told_when_the_first_rest_ends():
-    """A caller that came back at another time met the rest, or waited in vain."""
+def test_callers_of_backed_off_targets_are_told_when_the_first_one_returns():
+    """A caller that came back at another time met the back-off, or waited in vain."""
     first, second = entry("i-1"), entry("i-2")
     parts = Parts(first, second)
-    ask_for_rest(parts, first, 3.0)
-    ask_for_rest(parts, second, 1.0)
+    request_backoff(parts, first, 3.0)
+    request_backoff(parts, second, 1.0)
     parts.clock.advance(0.4)
     refusal = parts.choose()
     assert (refusal.outcome, refusal.reason) == (
@@ -370,14 +370,14 @@
         Reason.OVERLOADED,
     )
     assert refusal.retry_after_s == pytest.approx(0.6)
-    assert "want rest" in refusal.message
+    assert "requested back-off" in refusal.message
 
 
 def test_last_try_of_a_request_goes_to_a_target_that_has_answered():
-    """A request that could go nowhere else was spent on the end of a rest."""
+    """A request that could go nowhere else was spent on the end of a back-off."""
     returning, busy = entry("i-1"), entry("i-2")
     parts = Parts(returning, busy, entry("i-3"))
-    ask_for_rest(parts, returning, 1.0)
+    request_backoff(parts, returning, 1.0)
     parts.clock.advance(1.5)
     for _ in range(3):
         parts.loads.started("i-2")
--- a/siskinthread/gateway/tests/test_target_list.py
+++ b/siskinthread/gateway/tests/test_target_list.py
@@ -2,9 +2,10 @@
 
 import random
 
+from siskinthread.gateway._departures import REMEMBERED_LIMIT
 from siskinthread.gateway._parts import GatewayParts
 from siskinthread.gateway._request import LoadReport
-from siskinthread.gateway._target_list import GONE_LIMIT, TargetList
+from siskinthread.gateway._target_list import TargetList
 from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
 from siskinthread.observability import Metrics
 
@@ -182,10 +183,10 @@
 def test_leaving_is_remembered_of_a_bounded_number_of_targets():
     """A process of months kept the id of each target that had ever left."""
     targets, _ = build()
-    for number in range(3 * GONE_LIMIT):
+    for number in range(3 * REMEMBERED_LIMIT):
         targets.note_leaving(f"i-{number + 10}", "its answer")
-    assert len(targets._left) == GONE_LIMIT
-    assert targets.has_left(f"i-{3 * GONE_LIMIT + 9}")
+    assert len(targets._departures) == REMEMBERED_LIMIT
+    assert targets.has_left(f"i-{3 * REMEMBERED_LIMIT + 9}")
 
 
 def test_what_is_known_of_a_target_ends_with_its_start():
--- a/siskinthread/peer_news/__init__.py
+++ b/siskinthread/peer_news/__init__.py
@@ -4,7 +4,7 @@
 with ``async run()``, ``counts(instance_id)``, ``newest_version()``,
 ``informed_peers()``, ``is_reader()`` and ``async tell_domain()``; ``describe`` is set
 to a callable that returns the `HostState` of this process, ``take_listing`` to a
-coroutine function that takes each `ListStatement` of a peer, ``take_rests`` and
+coroutine function that takes each `ListStatement` of a peer, ``take_backoffs`` and
 ``take_leaving`` to functions that take what targets have said of themselves to peers.
 """
 
--- a/siskinthread/peer_news/_news.py
+++ b/siskinthread/peer_news/_news.py
@@ -8,7 +8,7 @@
 from siskinthread.poison_requests import SuspectStatement
 from siskinthread.settings import Address
 from siskinthread.source_eras import Position
-from siskinthread.target_limits import LimitStatement, RestStatement
+from siskinthread.target_limits import BackoffStatement, LimitStatement
 
 MILLISECONDS_PER_SECOND = 1000
 # Addresses whose decoded form is kept; above the number of hosts of a large fleet.
@@ -84,8 +84,8 @@
         Limits that targets have named.
     asked_rates : dict of str to float
         Requests a second that callers ask it for, by service that has a limit.
-    rests : list of siskinthread.target_limits.RestStatement
-        Rests that targets have asked it for.
+    backoffs : list of siskinthread.target_limits.BackoffStatement
+        Back-offs that targets have requested of it.
     leaving : list of LeavingStatement
         Targets that have said lately that they leave.
     """
@@ -100,7 +100,7 @@
         "limits",
         "listing",
         "passes_s",
-        "rests",
+        "backoffs",
         "slow_targets",
         "stalled_groups",
         "table_version",
@@ -119,10 +119,10 @@
         slow_targets=(),
         limits=(),
         asked_rates=None,
-        rests=(),
+        backoffs=(),
         leaving=(),
     ):
-        self.rests = list(rests)
+        self.backoffs = list(backoffs)
         self.leaving = list(leaving)
         self.slow_targets = list(slow_targets)
         self.limits = list(limits)
@@ -161,7 +161,7 @@
             slow_targets=sorted({*self.slow_targets, *near.slow_targets}),
             limits=self.limits,
             asked_rates=asked_rates,
-            rests=self.rests,
+            backoffs=self.backoffs,
             leaving=self.leaving,
         )
 
@@ -177,7 +177,7 @@
             and self.passes_s == other.passes_s
             and self.asked_rates == other.asked_rates
             and len(self.limits) == len(other.limits)
-            and _ids(self.rests) == _ids(other.rests)
+            and _ids(self.backoffs) == _ids(other.backoffs)
             and _ids(self.leaving) == _ids(other.leaving)
         )
 
@@ -233,11 +233,11 @@
         ----------
         limit_bytes : float
             Its largest size; suspected requests that don't fit are left out, the last
-            ones first, then limits of targets, rests and leaving targets.  One that is
-            cut off by its size would bring no news at all.
+            ones first, then limits of targets, back-offs and leaving targets.  One that
+            is cut off by its size would bring no news at all.
         """
         state = self.state
-        optional = [self.suspects, state.limits, state.rests, state.leaving]
+        optional = [self.suspects, state.limits, state.backoffs, state.leaving]
         data = self._encode_with(*optional)
         while len(data) > limit_bytes and any(optional):
             number = next(i for i, part in enumerate(optional) if part)
@@ -245,7 +245,7 @@
             data = self._encode_with(*optional)
         return data
 
-    def _encode_with(self, suspects, limits, rests, leaving):
+    def _encode_with(self, suspects, limits, backoffs, leaving):
         state = self.state
         document = {
             "sender": str(self.sender),
@@ -269,10 +269,10 @@
             document["limits"] = [_encode_limit(one) for one in limits]
         if state.asked_rates:
             document["asked"] = state.asked_rates
-        if rests:
-            document["rests_ms"] = {
+        if backoffs:
+            document["backoffs_ms"] = {
                 one.instance_id: round(one.left_s * MILLISECONDS_PER_SECOND)
-                for one in rests
+                for one in backoffs
             }
         if leaving:
             document["leaving_ms"] = {
@@ -313,7 +313,7 @@
                 [str(target) for target in document.get("slow", ())],
                 [_decode_limit(row) for row in document.get("limits", ())],
                 _decode_rates(document.get("asked", {})),
-                _decode_times(document.get("rests_ms", {}), RestStatement),
+                _decode_times(document.get("backoffs_ms", {}), BackoffStatement),
                 _decode_times(document.get("leaving_ms", {}), LeavingStatement),
             )
             return cls(
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -39,9 +39,9 @@
         each change at once, and of what still counts once a second.
     limits : siskinthread.target_limits.TargetLimits or None
         Takes what peers tell of the limits of targets.
-    take_rests, take_leaving : callable or None
-        Called with the list of `RestStatement`, and of `LeavingStatement`, of a peer,
-        and its address as text.
+    take_backoffs, take_leaving : callable or None
+        Called with the list of `BackoffStatement`, and of `LeavingStatement`, of a
+        peer, and its address as text.
 
     Notes
     -----
@@ -62,7 +62,7 @@
         "poison",
         "take_leaving",
         "take_listing",
-        "take_rests",
+        "take_backoffs",
     )
 
     def __init__(self, settings, address, failure_domain, first_peers, clock, random):
@@ -73,7 +73,7 @@
         self._quiet_deadline = Deadline.after(clock, 0.0)
         self._far_deadline = Deadline.after(clock, 0.0)
         self.take_listing = None
-        self.take_rests = None
+        self.take_backoffs = None
         self.take_leaving = None
         self.poison = None
         self.limits = None
@@ -123,8 +123,8 @@
         told_by = str(news.sender)
         if self.limits is not None:
             self.limits.hear(news.state.limits, told_by)
-        if self.take_rests is not None:
-            self.take_rests(news.state.rests, told_by)
+        if self.take_backoffs is not None:
+            self.take_backoffs(news.state.backoffs, told_by)
         if self.take_leaving is not None:
             self.take_leaving(news.state.leaving, told_by)
 
--- a/siskinthread/peer_news/tests/test_peers.py
+++ b/siskinthread/peer_news/tests/test_peers.py
@@ -24,7 +24,7 @@
 )
 from siskinthread.settings import Address
 from siskinthread.source_eras import Position
-from siskinthread.target_limits import LimitStatement, RestStatement
+from siskinthread.target_limits import BackoffStatement, LimitStatement
 from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
 SETTINGS = PeerNewsSettings(
@@ -403,18 +403,18 @@
     assert told.state.asked_rates == {"app": 12.5}
 
 
-def test_rests_and_leaving_of_targets_survive_the_way():
+def test_backoffs_and_leaving_of_targets_survive_the_way():
     """A datagram tells what targets have said of themselves to its sender."""
     state = HostState(
         1,
         True,
         {},
-        rests=[RestStatement("i-1", 2.75)],
+        backoffs=[BackoffStatement("i-1", 2.75)],
         leaving=[LeavingStatement("i-2", 0.5)],
     )
     told = News.decode(News(Address("10.0.0.1", 1), "a", state, []).encode())
-    [rest] = told.state.rests
-    assert (rest.instance_id, rest.left_s) == ("i-1", 2.75)
+    [backoff] = told.state.backoffs
+    assert (backoff.instance_id, backoff.left_s) == ("i-1", 2.75)
     [leaving] = told.state.leaving
     assert (leaving.instance_id, leaving.age_s) == ("i-2", 0.5)
     assert not told.state.looks_like(HostState(1, True, {}))
@@ -430,14 +430,14 @@
 
 
 def test_news_that_would_not_fit_tell_of_leaving_targets_last():
-    """A host was silent for all others once many targets rested or left."""
+    """A host was silent for all others once many targets were backed off or left."""
     counts = {f"i-{number:010}": 1 for number in range(440)}
     state = HostState(
         1,
         True,
         counts,
         limits=limits(48),
-        rests=[RestStatement(f"i-{number}", 1.0) for number in range(32)],
+        backoffs=[BackoffStatement(f"i-{number}", 1.0) for number in range(32)],
         leaving=[LeavingStatement(f"i-{number}", 1.0) for number in range(32)],
     )
     data = News(Address("10.0.0.1", 1), "a", state, []).encode(8192)
@@ -457,8 +457,8 @@
         {"asked": []},
         {"asked": {"app": "inf"}},
         {"asked": {"app": None}},
-        {"rests_ms": 5},
-        {"rests_ms": {"i-1": "soon"}},
+        {"backoffs_ms": 5},
+        {"backoffs_ms": {"i-1": "soon"}},
         {"leaving_ms": ["i-1"]},
         {"leaving_ms": {"i-1": None}},
     ],
--- a/siskinthread/platform/_stated.py
+++ b/siskinthread/platform/_stated.py
@@ -3,7 +3,7 @@
 import math
 import re
 
-from siskinthread.target_limits import StatedLimit, StatedRest
+from siskinthread.target_limits import StatedBackoff, StatedLimit
 
 # Requests a second that the server takes from all hosts together.
 RATE_LIMIT = "server-limit"
@@ -12,7 +12,7 @@
 LEAVING_VALUE = "1"
 NUMBER = re.compile(r"(\d+(\.\d*)?|\.\d+)", re.ASCII)
 # With these, "retry-after" is meant for the host that asked.
-REST_STATUSES = (429, 503)
+BACKOFF_STATUSES = (429, 503)
 
 
 def stated_limit(headers):
@@ -27,18 +27,18 @@
     return StatedLimit(rate_per_s)
 
 
-def stated_rest(status, headers):
-    """Return the `StatedRest` of an answer.
+def stated_backoff(status, headers):
+    """Return the `StatedBackoff` of an answer.
 
     Of several values the longest counts: the server asks for that time at least.
     """
     texts = _values(headers, RETRY_AFTER)
-    if status not in REST_STATUSES or not texts:
-        return StatedRest()
+    if status not in BACKOFF_STATUSES or not texts:
+        return StatedBackoff()
     waits_s = [_number(text) for text in texts]
     readable_s = [wait_s for wait_s in waits_s if wait_s is not None]
     unreadable = ", ".join(texts) if None in waits_s or len(texts) > 1 else None
-    return StatedRest(max(readable_s, default=0.0), unreadable)
+    return StatedBackoff(max(readable_s, default=0.0), unreadable)
 
 
 def says_leaving(headers):
--- a/siskinthread/platform/_wire.py
+++ b/siskinthread/platform/_wire.py
@@ -2,7 +2,7 @@
 
 from siskinthread.gateway import AnswerFacts, LoadReport, RequestFacts
 from siskinthread.http_server import HOP_BY_HOP_HEADERS, relayed_headers
-from siskinthread.platform._stated import says_leaving, stated_limit, stated_rest
+from siskinthread.platform._stated import says_leaving, stated_backoff, stated_limit
 
 REQUEST_ID = "x-request-id"
 DEADLINE = "x-deadline-ms"
@@ -89,7 +89,7 @@
             _rest_limit_s(values.get("keep-alive")),
             "close" in values.get("connection", "").lower(),
             stated_limit(head.headers),
-            stated_rest(head.status, head.headers),
+            stated_backoff(head.status, head.headers),
             says_leaving(head.headers),
         )
 
--- a/siskinthread/platform/tests/load.py
+++ b/siskinthread/platform/tests/load.py
@@ -6,7 +6,7 @@
 import curio
 
 from siskinthread.platform.tests.system import SAFE_PATH, status_of
-from standins.platform_rests import request_body
+from standins.platform_backoff import request_body
 
 
 class Load:
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -421,7 +421,7 @@
 def test_rest_that_a_server_asks_for_is_read(status, texts, wait_s, is_readable):
     """Seconds of a refusal; of two values the longer one, of others none."""
     headers = [("retry-after", text) for text in texts]
-    stated = PlatformWire().read_answer(Head(status, headers)).stated_rest
+    stated = PlatformWire().read_answer(Head(status, headers)).stated_backoff
     assert stated.wait_s == wait_s
     assert (stated.unreadable is None) is is_readable
 
--- a/siskinthread/platform/tests/test_target_rests.py
+++ b/siskinthread/platform/tests/test_target_backoff.py
@@ -1,4 +1,4 @@
-"""Servers that ask an entry for rest, or say in their answers that they leave."""
+"""Servers that request back-off, or say in their answers that they leave."""
 
 import pytest
 
@@ -10,11 +10,11 @@
     SAFE_PATH,
     status_of,
 )
-from siskinthread.target_limits import StatedRest
+from siskinthread.target_limits import StatedBackoff
+from standins.platform_backoff import BackoffService, LeavingService
 from standins.platform_behaviours import answer_whole, decline, misdirect_with
-from standins.platform_rests import LeavingService, RestingService
 
-# Requests of one entry that a server may get within a rest that it has asked it for.
+# Requests of one entry that a server may get within a back-off.
 ALLOWED_COUNT = 2
 # A refusal that waits for nothing takes less.
 AT_ONCE_S = 0.2
@@ -50,29 +50,29 @@
     "says_not_run", [True, False], ids=["declined", "may have run"]
 )
 @pytest.mark.parametrize("entry_count", [1, 4])
-def test_server_that_asks_for_rest_gets_it(entry_count, says_not_run):
-    """A server had asked an entry for 3 s of rest and got 14 requests from it."""
-    service = RestingService("3", says_not_run=says_not_run)
+def test_server_gets_the_backoff_that_it_requests(entry_count, says_not_run):
+    """A server requested 3 s of back-off and got 14 requests of that entry in it."""
+    service = BackoffService("3", says_not_run=says_not_run)
     load = run_load([service], entry_count, load_s=4.5)
     assert service.asked_count >= 1
-    assert service.most_in_a_rest() <= ALLOWED_COUNT
+    assert service.most_in_a_backoff() <= ALLOWED_COUNT
     if says_not_run:
         assert load.served_share() >= 0.99
 
 
-def test_rest_lasts_though_the_server_would_serve():
-    """A server that had asked for rest in its first 0.6 s got 7 requests in it."""
-    service = RestingService("3", asks_s=0.6)
+def test_backoff_lasts_though_the_server_would_serve():
+    """A server that had requested back-off in its first 0.6 s got 7 requests in it."""
+    service = BackoffService("3", asks_s=0.6)
     load = run_load([service], entry_count=4, load_s=4.5)
-    assert service.most_in_a_rest() <= ALLOWED_COUNT
+    assert service.most_in_a_backoff() <= ALLOWED_COUNT
     assert load.served_share() >= 0.99
 
 
-def test_callers_are_refused_at_once_while_all_servers_rest():
-    """Servers that all rest got 8 requests of one entry; callers must be told when."""
-    services = [RestingService("2", asks_s=0.6) for _ in range(4)]
+def test_callers_are_refused_at_once_while_all_servers_are_backed_off():
+    """Each of four servers got 8 requests in a back-off; callers were told nothing."""
+    services = [BackoffService("2", asks_s=0.6) for _ in range(4)]
     load = run_load(services, entry_count=4, load_s=4.0)
-    assert max(service.most_in_a_rest() for service in services) <= ALLOWED_COUNT
+    assert max(service.most_in_a_backoff() for service in services) <= ALLOWED_COUNT
     refused = [
         (response, took_s)
         for response, took_s in zip(load.responses, load.took_s, strict=True)
@@ -80,7 +80,7 @@
     ]
     assert all(b"retry-after: " in response.lower() for response, _ in refused)
     assert max(took_s for _, took_s in refused) <= AT_ONCE_S
-    # The last rest began within 0.6 s of the load's begin, and lasts 2 s.
+    # The last back-off began within 0.6 s of the load's begin, and lasts 2 s.
     begun_at_s = min(load.sent_at_s)
     late = [
         status
@@ -90,11 +90,11 @@
     assert set(late) == {200}
 
 
-def test_servers_that_rest_again_and_again_cost_callers_nothing():
+def test_servers_that_request_backoff_again_and_again_cost_callers_nothing():
     """163 of 400 requests were refused though two of four servers were free."""
-    services = [RestingService("0.8") for _ in range(2)]
+    services = [BackoffService("0.8") for _ in range(2)]
     load = run_load(services, entry_count=4, load_s=5.0)
-    assert max(service.most_in_a_rest() for service in services) <= ALLOWED_COUNT
+    assert max(service.most_in_a_backoff() for service in services) <= ALLOWED_COUNT
     assert load.served_share() >= 0.97
 
 
@@ -140,7 +140,7 @@
         """Keep nothing."""
 
 
-@pytest.mark.parametrize("word", ["rest", "leaving"])
+@pytest.mark.parametrize("word", ["backoff", "leaving"])
 def test_request_is_withheld_if_its_target_speaks_while_it_is_connected(word):
     """A request that had been chosen before the answer still went out behind it."""
 
@@ -151,8 +151,8 @@
         def speak(entry):
             if not spoken:
                 spoken.append(entry.instance_id)
-                if word == "rest":
-                    parts.rests.note_answer(entry, 0.0, StatedRest(3.0))
+                if word == "backoff":
+                    parts.backoffs.note_answer(entry, 0.0, StatedBackoff(3.0))
                 else:
                     parts.targets.note_says_leaving(entry.instance_id)
 
@@ -186,7 +186,7 @@
         parts = system.gateway.parts
         return (
             status_of(response),
-            parts.rests.resting_count(),
+            parts.backoffs.backed_off_count(),
             len(parts.limits._limits),
         )
 
--- a/siskinthread/target_limits/_rest.py
+++ b/siskinthread/target_limits/_backoff.py
@@ -1,26 +1,26 @@
-"""The rest of one target, and how this entry comes back to it."""
+"""The back-off of one target, and how this entry comes back to it."""
 
 
-class Rest:
-    """A rest that a target has asked this entry for, and the return after it.
+class Backoff:
+    """A back-off that a target has asked this entry for, and the return after it.
 
     Parameters
     ----------
     instance_id, service_name : str
         The target and its service.
     end : siskinthread.timing.Deadline
-        When the rest is over.
+        When the back-off is over.
 
     Attributes
     ----------
     end : siskinthread.timing.Deadline
-        When the rest is over.
+        When the back-off is over.
     count : int
-        Rests without a good answer between them.
+        Back-offs without a good answer between them.
     place_count : int
-        Requests that the target may get without a further answer, after its rest.
+        Requests that the target may get without a further answer, after its back-off.
     answer_count : int
-        Good answers since the end of the rest.
+        Good answers since the end of the back-off.
     next_try : siskinthread.timing.Deadline or None
         When another request may be sent although none has been answered.
     """
@@ -43,12 +43,12 @@
         self._begin_return()
 
     def prolong(self, end):
-        """Take a further rest; the latest end counts.
+        """Take a further back-off; the latest end counts.
 
         Returns
         -------
         bool
-            Whether it begins a rest after one that was over.
+            Whether it begins a back-off after one that was over.
         """
         was_over = self.end.passed()
         if end.at_s > self.end.at_s:
@@ -73,7 +73,7 @@
         return self.place_count > 0 or self.next_try.passed()
 
     def is_proved(self):
-        """Return whether the target has answered since its rest."""
+        """Return whether the target has answered since its back-off."""
         return self.answer_count > 0
 
     def note_sent(self, next_try):
--- a/siskinthread/target_limits/_settings.py
+++ b/siskinthread/target_limits/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the limits that targets name, and of the rests that they ask for."""
+"""Settings of the limits that targets name, and of the back-offs that they ask for."""
 
 from siskinthread.settings import Item, Section
 
@@ -123,47 +123,47 @@
     )
 
 
-class TargetRestSettings(Section):
-    """How an entry comes back to a target that has asked it for rest."""
+class TargetBackoffSettings(Section):
+    """How an entry comes back to a target that has requested back-off of it."""
 
     try_wait_s = Item(
         float,
         default=1.0,
         minimum=0.01,
-        description="Time after a request to a target whose rest is over, without an "
-        "answer, until it gets another one.",
+        description="Time after a request to a target whose back-off is over, without "
+        "an answer, until it gets another one.",
     )
     spread_s = Item(
         float,
         default=0.5,
         minimum=0.0,
-        description="Least time behind the end of a rest over which refused callers "
-        "are spread when more come back than there are places.",
+        description="Least time behind the end of a back-off over which refused "
+        "callers are spread when more come back than there are places.",
     )
     told_margin_s = Item(
         float,
         default=0.3,
         minimum=0.0,
-        description="Time after the end of a rest for which entries that a peer has "
-        "told of it still prefer other targets, so that the one that was asked tries "
-        "first.",
+        description="Time after the end of a back-off for which entries that a peer "
+        "has told of it still prefer other targets, so that the one that was asked "
+        "tries first.",
     )
     return_memory_s = Item(
         float,
         default=10.0,
         minimum=0.1,
-        description="Time after the end of a rest from which on a target that has got "
-        "no request counts as any other one.",
+        description="Time after the end of a back-off from which on a target that has "
+        "got no request counts as any other one.",
     )
     targets_limit = Item(
         int,
         default=1024,
         minimum=1,
-        description="Targets whose rests are remembered.",
+        description="Targets whose back-offs are remembered.",
     )
     told_limit = Item(
         int,
         default=32,
         minimum=1,
-        description="Rests that a datagram tells of, some 1 KB of its 8 KB.",
+        description="Back-offs that a datagram tells of, some 1 KB of its 8 KB.",
     )
--- a/siskinthread/target_limits/_statement.py
+++ b/siskinthread/target_limits/_statement.py
@@ -20,7 +20,7 @@
         self.unreadable = unreadable
 
 
-class StatedRest:
+class StatedBackoff:
     """For how long a target wants no request from the entry that it answers.
 
     Parameters
@@ -62,15 +62,15 @@
         self.age_s = age_s
 
 
-class RestStatement:
-    """What an entry tells others of the rest that a target has asked it for.
+class BackoffStatement:
+    """What an entry tells others of the back-off that a target has asked it for.
 
     Parameters
     ----------
     instance_id : str
         The target.
     left_s : float
-        Time until the end of the rest, seconds.
+        Time until the end of the back-off, seconds.
     """
 
     __slots__ = ("instance_id", "left_s")
--- a/siskinthread/tracing/_trace.py
+++ b/siskinthread/tracing/_trace.py
@@ -143,8 +143,8 @@
         text += f"; chosen by a list {attempt['list_age_s']} s old"
     if attempt.get("rested_s") is not None:
         text += f"; on a connection that had rested {attempt['rested_s']} s"
-    if attempt.get("rest_asked_s"):
-        text += f"; asked for a rest of {attempt['rest_asked_s']:g} s"
+    if attempt.get("backoff_asked_s"):
+        text += f"; requested back-off for {attempt['backoff_asked_s']:g} s"
     if attempt.get("says_leaving"):
         text += "; said that it leaves"
     return text
--- a/siskinthread/tracing/tests/test_trace.py
+++ b/siskinthread/tracing/tests/test_trace.py
@@ -102,9 +102,9 @@
 def test_what_the_target_asked_for_is_told():
     """An attempt that a target turned away shows for how long, and that it leaves."""
     values = request(100.0, "id-1")
-    values["attempts"][0] |= {"rest_asked_s": 3.0, "says_leaving": True}
+    values["attempts"][0] |= {"backoff_asked_s": 3.0, "says_leaving": True}
     text = find_request([json.dumps(values)], "id-1").render()
-    assert "asked for a rest of 3 s; said that it leaves" in text
+    assert "requested back-off for 3 s; said that it leaves" in text
 
 
 def test_what_earlier_tries_did_is_found_however_long_ago():
--- a/standins/platform_rests.py
+++ b/standins/platform_backoff.py
@@ -1,4 +1,4 @@
-"""Stand-ins of servers that ask for rest, and of those that say that they leave.
+"""Stand-ins of servers that request back-off, and of those that say that they leave.
 
 Requests tell in their body which entry they were sent to and when, as `request_body`
 writes it, so that arrivals can be told apart by entry.
@@ -10,8 +10,8 @@
 
 from standins.platform_behaviours import answer_bytes, answer_whole, sealed
 
-# Arrivals count from so long after the answer that asked for rest.
-REST_SLACK_S = 0.5
+# Arrivals count from so long after the answer that requested back-off.
+BACKOFF_SLACK_S = 0.5
 
 
 def request_body(entry_name):
@@ -29,15 +29,15 @@
         self.at_s = time.monotonic()
 
 
-class RestingService:
-    """Behaviour of a server that turns requests away and asks for rest.
+class BackoffService:
+    """Behaviour of a server that turns requests away and requests back-off.
 
     Parameters
     ----------
-    rest_text : str
+    backoff_text : str
         What it asks for, seconds.
     asks_s : float
-        How long it asks for rest, from its first request on; then it serves.
+        How long it requests back-off, from its first request on; then it serves.
     declines_every : int
         Which of its requests it turns away meanwhile: each one, each second one, ...
     says_not_run : bool
@@ -48,28 +48,30 @@
     arrivals : list
         All requests, in order.
     asked_count : int
-        How often it has asked for rest.
+        How often it has requested back-off.
     """
 
     __slots__ = (
         "_asks_s",
         "_declines_every",
         "_first_at_s",
-        "_rest_text",
-        "_rests",
+        "_backoff_text",
+        "_backoffs",
         "_says_not_run",
         "arrivals",
         "asked_count",
     )
 
-    def __init__(self, rest_text, asks_s=math.inf, declines_every=1, says_not_run=True):
-        self._rest_text = rest_text
+    def __init__(
+        self, backoff_text, asks_s=math.inf, declines_every=1, says_not_run=True
+    ):
+        self._backoff_text = backoff_text
         self._asks_s = asks_s
         self._declines_every = declines_every
         self._says_not_run = says_not_run
         self._first_at_s = None
-        # Entry and time of each answer that asked for rest.
-        self._rests = []
+        # Entry and time of each answer that requested back-off.
+        self._backoffs = []
         self.arrivals = []
         self.asked_count = 0
 
@@ -83,25 +85,25 @@
         if not is_asking or (len(self.arrivals) - 1) % self._declines_every:
             await answer_whole(server, request, client)
             return
-        headers = [f"Retry-After: {self._rest_text}", "X-Server-Load: 0,0,6"]
+        headers = [f"Retry-After: {self._backoff_text}", "X-Server-Load: 0,0,6"]
         if self._says_not_run:
             headers.append("X-Not-Executed: 1")
         self.asked_count += 1
         data = answer_bytes(request.request_id, "503 Service Unavailable", b"", headers)
         await client.sendall(data)
-        self._rests.append((arrival.entry_name, time.monotonic()))
+        self._backoffs.append((arrival.entry_name, time.monotonic()))
 
-    def most_in_a_rest(self):
-        """Return the most requests of one entry within a rest asked of it."""
-        rest_s = float(self._rest_text)
+    def most_in_a_backoff(self):
+        """Return the most requests of one entry within a back-off asked of it."""
+        backoff_s = float(self._backoff_text)
         return max(
             (
                 sum(
-                    REST_SLACK_S < one.at_s - asked_at_s < rest_s
+                    BACKOFF_SLACK_S < one.at_s - asked_at_s < backoff_s
                     for one in self.arrivals
                     if one.entry_name == entry_name
                 )
-                for entry_name, asked_at_s in self._rests
+                for entry_name, asked_at_s in self._backoffs
             ),
             default=0,
         )
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -6,8 +6,8 @@
 Run it with ``python -m standins.platform_server --port 0 --instance-id i-1``.  ``POST
 /faults`` takes ``behaviours``: names of `BEHAVIOURS` for the next requests, in place of
 those before; with ``--steady`` also ``shares`` and ``seed``, and what its answers then
-state: ``limit``, ``rest``, ``leaving``.  ``GET /runs`` answers what `SteadyService` has
-noted.
+state: ``limit``, ``backoff``, ``leaving``.  ``GET /runs`` answers what `SteadyService`
+has noted.
 """
 
 import argparse
@@ -26,7 +26,7 @@
 
 READ_SIZE_BYTES = 65_536
 # What a steady service states in its answers.
-STATED = {"leaving", "limit", "rest"}
+STATED = {"backoff", "leaving", "limit"}
 
 
 class SeenRequest:
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -60,8 +60,8 @@
         Whether it sent a whole answer.
     is_misdirected : bool
         Whether it was meant for another instance.
-    rest_asked_s : float
-        The rest that its refusal asked for, seconds.
+    backoff_asked_s : float
+        The back-off that its refusal requested, seconds.
     refused_s : float or None
         When that was.
     said_leaving : bool
@@ -78,7 +78,7 @@
         "ran",
         "refused_s",
         "request_id",
-        "rest_asked_s",
+        "backoff_asked_s",
         "said_leaving",
     )
 
@@ -91,7 +91,7 @@
         self.ended_s = None
         self.answered = False
         self.is_misdirected = False
-        self.rest_asked_s = 0.0
+        self.backoff_asked_s = 0.0
         self.refused_s = None
         self.said_leaving = False
 
@@ -114,8 +114,8 @@
         Every request that arrived.
     limit : str or None
         The limit that its answers name, requests a second.
-    rest : list of float or None
-        Part of the requests that it turns away, and the rest that it then asks for.
+    backoff : list of float or None
+        Part of the requests that it turns away, and the back-off that it then requests.
     leaving : bool
         Whether its answers say that it leaves.
     """
@@ -127,7 +127,7 @@
         "_shares",
         "leaving",
         "limit",
-        "rest",
+        "backoff",
         "runs",
     )
 
@@ -137,7 +137,7 @@
         self._shares = {}
         self._running = 0
         self.limit = None
-        self.rest = None
+        self.backoff = None
         self.leaving = False
         self.runs = []
 
@@ -169,8 +169,8 @@
             run.is_misdirected = True
             return await self._decline(request, client, "421 Misdirected Request")
         run.said_leaving = self.leaving
-        if self.rest is not None and self._random.random() < self.rest[0]:
-            return await self._ask_for_rest(run, request, client)
+        if self.backoff is not None and self._random.random() < self.backoff[0]:
+            return await self._request_backoff(run, request, client)
         if self._running >= SLOT_COUNT:
             return await self._decline(request, client, "503 Service Unavailable")
         self._running += 1
@@ -181,10 +181,10 @@
             run.ended_s = time.monotonic()
             self._running -= 1
 
-    async def _ask_for_rest(self, run, request, client):
-        run.rest_asked_s = self.rest[1]
-        rest = f"Retry-After: {run.rest_asked_s}"
-        await self._decline(request, client, "503 Service Unavailable", [rest])
+    async def _request_backoff(self, run, request, client):
+        run.backoff_asked_s = self.backoff[1]
+        backoff = f"Retry-After: {run.backoff_asked_s}"
+        await self._decline(request, client, "503 Service Unavailable", [backoff])
         run.refused_s = time.monotonic()
 
     async def _decline(self, request, client, status, headers=()):
