--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -258,9 +258,8 @@
         float,
         default=1.8,
         minimum=0.0,
-        description="Mean time after which a caller that was refused should come back. "
-        "Near the time that a stream takes, 2 s; with 1 s loaded days of the "
-        "inspectorate's site earned 0.02 of what is owed less.",
+        description="Mean time after which a caller that was refused should come back; "
+        "near the time that a stream takes.",
     )
     retry_window_s = Item(
         float,
--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -37,8 +37,7 @@
         minimum=0.0,
         description="How long a request pauses that may have ended targets; then one "
         "more try shows whether it was the request. A target and its group need some 5 "
-        "s to be back, a twelfth of this. With 20 s, the third end came on days of 34 "
-        "s, and one of two such days earned 0.13 of what is owed less.",
+        "s to be back, a twelfth of this.",
     )
     memory_s = Item(
         float,
