Leave 2 s instead of 1 s to each entry before the next one writes

Ruled out: two records of the same; the condition held.

Change: the step is 2 s. If the first in the order is gone, the record comes 2 s later instead of 1 s.

--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -55,12 +55,12 @@
     )
     write_step_s = Item(
         float,
-        default=1.0,
+        default=2.0,
         minimum=0.0,
         description="Time that each entry leaves to the one before it, in an order "
-        "that all find alike, to write what the store lacks. Longer than a write and "
-        "the read that tells of it take, some 10 ms, and than entries learn of a "
-        "restore after one another.",
+        "that all find alike, to write what the store lacks. Longer than entries "
+        "learn of a restore after one another, read anew, and read of a write: some 10 "
+        "ms each, and up to 1 s on overloaded hosts.",
     )
     write_steps_limit = Item(
         int,
