Show that a lost record is written once though the first in order is cut off

Cause: the order of entries was tested with its first one gone only; one that hears the others and has no path to the store is first for all of them, too.

Change: a test with six real entries, beside the one of an entry that is gone.

--- a/siskinthread/platform/tests/test_restored_store.py
+++ b/siskinthread/platform/tests/test_restored_store.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from siskinthread.platform.tests.fleet import POISON, run_fleet
+from siskinthread.platform.tests.fleet import NOWHERE, POISON, run_fleet
 from siskinthread.platform.tests.system import (
     KEY,
     listed,
@@ -338,6 +338,12 @@
     return calls, fleet.store.topics["keyed.suspects"].end
 
 
+def first_in_order(fleet):
+    """Return the entry that goes first, of those that still run."""
+    left = fleet.entries[1:]
+    return min(left, key=lambda one: one.gateway.control_home.peers.turn_of(MATTER))
+
+
 def test_lost_record_is_written_once_though_the_host_whose_turn_it_is_is_gone():
     """Symptom: nobody writes the record again, or all the others do.
 
@@ -345,15 +351,32 @@
     nobody knows yet.
     """
 
-    async def stop_first_in_order(fleet):
-        left = fleet.entries[1:]
-        first = min(
-            left, key=lambda one: one.gateway.control_home.peers.turn_of(MATTER)
-        )
-        await first.stop()
+    async def stop_first(fleet):
+        await first_in_order(fleet).stop()
+
+    async def test(fleet):
+        return await lose_known_request(fleet, stop_first)
+
+    assert run_fleet(test, entry_count=6) == (1, 1)
+
+
+def test_lost_record_is_written_once_though_the_host_whose_turn_it_is_is_cut_off():
+    """Symptom: nobody writes the record again, or all the others do.
+
+    Events: the host that is first in the order hears the others, and has no path to
+    the store.
+    """
+
+    async def cut_first_off(fleet):
+        cut_off = first_in_order(fleet)
+        await cut_off.stop()
+        cut_off.suspects_address = NOWHERE
+        await cut_off.start()
+        poison = cut_off.gateway.parts.poison
+        await until(lambda: poison.statements())
 
     async def test(fleet):
-        return await lose_known_request(fleet, stop_first_in_order)
+        return await lose_known_request(fleet, cut_first_off)
 
     assert run_fleet(test, entry_count=6) == (1, 1)
 
