Tell a change that waits for its pass from one that was left

Change: such a change is logged as 'a change waits', with the pass that the group is at and the one that it waits for. No decision changes.

--- a/siskinthread/group_maps/_change.py
+++ b/siskinthread/group_maps/_change.py
@@ -251,11 +251,14 @@
         if held_pass is None and not armed:
             return True
         versions = {one.version for one in armed.values()}
+        # A change that was released comes into force with its pass, and was not left.
         _logger.event(
-            "a change was left",
+            "a change waits" if held_pass is None else "a change was left",
             group=reports[0].group_name,
             epoch=epoch,
+            pass_number=reports[HOLDING_RANK].pass_number,
             held_pass=held_pass,
+            armed_passes=sorted({str(one.pass_number) for one in armed.values()}),
             armed_ranks=sorted(armed),
             versions=sorted(versions),
         )
