Hold the next pass though passes have just become longer

What callers saw: streams of a whole group late for 4.5 s after one of its ranks had become 12 times slower, since the map that takes experts from that rank could not be prepared.

Cause: the pass at which a change comes into force was reckoned from the last pass that was told and the time of a pass before the rank became slow. It was five passes ahead, of 0.7 s each, and ranks refuse the next change until then.

Ruled out: a change that a stopped controller left, a lost release.

Change: the pass of a group that became 4 times slower is tried first. It is refused if it has begun, which costs one order more a change.

Figures: the new test fails before (both cases) and passes after; tests of group_maps 80 passed.

--- a/siskinthread/group_maps/_change.py
+++ b/siskinthread/group_maps/_change.py
@@ -42,6 +42,8 @@
 # A hold names a pass that may have begun, and the next one is tried then.  A try takes
 # a few milliseconds and a pass some ten times that.
 HOLD_TRIES = 8
+# A rank that turns slow makes passes some times longer within one change.
+SLOWDOWN = 4
 # Ranks start copying some milliseconds after an order's answer is on its way.
 COPY_MARGIN_S = 0.01
 HOLDING_RANK = 0
@@ -178,16 +180,13 @@
         group that gets to the held pass before that stands still.
         """
         wait_s = self._settings.order_wait_s
-        pass_number = passes.number_now() + 1
-        pass_number += copying.passes_for_repeats(passes.pass_s, wait_s)
-        for step in range(HOLD_TRIES):
-            result = await self._ranks.tell(HOLDING_RANK, Hold(epoch, pass_number))
+        ahead = 1 + copying.passes_for_repeats(passes.pass_s, wait_s)
+        for number in _pass_numbers(passes):
+            result = await self._ranks.tell(HOLDING_RANK, Hold(epoch, number + ahead))
             if result is OrderResult.TAKEN:
-                return pass_number
+                return number + ahead
             if result is OrderResult.UNKNOWN:
                 return None
-            # Further each time, or a group with quick passes would never be caught.
-            pass_number += 1 + step
         return None
 
     async def _arm_all(self, arm):
@@ -307,6 +306,22 @@
             await self._ranks.tell(HOLDING_RANK, Release(epoch, held_pass))
 
 
+def _pass_numbers(passes):
+    """Return passes that a group may be at, to be tried in this order.
+
+    The first one is too early unless passes have become longer; taken to be where it
+    would be otherwise, the group begins pass after long pass before the change.
+    """
+    likely = passes.number_now()
+    earlier = passes.number_now(SLOWDOWN)
+    numbers = [earlier] if earlier < likely else []
+    for step in range(HOLD_TRIES):
+        numbers.append(likely)
+        # Further each time, or a group with quick passes would never be caught.
+        likely += 1 + step
+    return numbers
+
+
 def planned_version(known, step):
     """Return an even version above `known`, some steps away.
 
--- a/siskinthread/group_maps/_passes.py
+++ b/siskinthread/group_maps/_passes.py
@@ -45,9 +45,15 @@
         self._number = number
         self._told_s = told_s
 
-    def number_now(self):
-        """Return the pass that the group has probably begun last."""
+    def number_now(self, slowdown=1):
+        """Return the pass that the group has probably begun last.
+
+        Parameters
+        ----------
+        slowdown : float
+            How many times longer passes are taken to be since the last one was told.
+        """
         if self._number is None:
             return 0
         since_s = self._clock.monotonic_s() - self._told_s
-        return self._number + math.floor(since_s / self.pass_s)
+        return self._number + math.floor(since_s / (self.pass_s * slowdown))
--- a/siskinthread/group_maps/tests/test_change.py
+++ b/siskinthread/group_maps/tests/test_change.py
@@ -26,7 +26,7 @@
     FakeGroup,
     Fault,
 )
-from siskinthread.timing import SYSTEM_CLOCK
+from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 
 RANKS = 2
 # Version of the new map.
@@ -127,6 +127,33 @@
     assert kinds[-1] == "Release"
 
 
+@pytest.mark.parametrize("slowdown", [4, 12])
+def test_group_whose_passes_became_longer_is_held_at_a_near_pass(slowdown):
+    """Guards against a change that waits for seconds once a rank turns slow."""
+    clock, pass_s, since_s = ManualClock(), 0.05, 0.32
+
+    async def run():
+        group = FakeGroup(RANKS, passes_an_order=0)
+        passes = PassEstimate(clock)
+        passes.note(group.pass_number, 0.0)
+        for _ in range(10):
+            group.advance()
+        clock.advance(10 * pass_s)
+        passes.note(group.pass_number, 0.0)
+        clock.advance(since_s)
+        for _ in range(int(since_s / (pass_s * slowdown))):
+            group.advance()
+        result = await change_of(group).run(
+            1, GroupMap(0, FIRST, 4), GroupMap(PLANNED, SECOND, 4), passes
+        )
+        holds = [order for _, order in group.orders if isinstance(order, Hold)]
+        return result, holds[-1].pass_number - group.pass_number
+
+    result, ahead = curio.run(run)
+    assert result is ChangeResult.IN_FORCE
+    assert ahead <= 2
+
+
 @pytest.mark.parametrize("passes_an_order", [0, 1, 4])
 @pytest.mark.parametrize("settings", [SETTINGS, ONE_TRY])
 # With 4, ranks are still copying when they are first told to arm.
