Count turns after a restore from the read, and let a test wait for one

Change: a turn is chosen anew once the store has been read anew. The test of it fails before (the record is there at once) and passes after.

--- a/siskinthread/platform/tests/test_restored_store.py
+++ b/siskinthread/platform/tests/test_restored_store.py
@@ -394,6 +394,12 @@
     assert record_count == 1
 
 
+def has_read_in_era(follower, era):
+    """Return whether a host knows the list of an era; none while it reads anew."""
+    statement = follower.statement()
+    return statement is not None and statement.position.era == era
+
+
 def test_hosts_that_hear_of_the_same_list_do_not_read_it_anew():
     """Symptom: all hosts read the whole list at one moment.
 
@@ -408,7 +414,7 @@
         calls_before = len(fleet.store.calls)
         fleet.store.restore()
         followers = [entry.gateway._target_follower for entry in fleet.entries]
-        await until(lambda: all(one.statement().position.era == 2 for one in followers))
+        await until(lambda: all(has_read_in_era(one, 2) for one in followers))
         await curio.sleep(1.0)
         return fleet.store.calls[calls_before:].count("/siskinthread/log-newest")
 
--- a/siskinthread/platform/tests/test_stored_suspects.py
+++ b/siskinthread/platform/tests/test_stored_suspects.py
@@ -18,11 +18,12 @@
 )
 from siskinthread.settings import Address
 from siskinthread.source_eras import EraWatch
-from siskinthread.timing import ManualClock
+from siskinthread.timing import ManualClock, SYSTEM_CLOCK
 from standins._http_server import HttpServer
 from standins.platform_store import PlatformStoreStandin
 
 SETTINGS = PoisonSettings(store_pause_s=0.01, store_retry_s=0.02)
+SLOW = SETTINGS.with_values(write_spread_s=0.5)
 POISON, OTHER = "5f0c", "77aa"
 HANG_S = 20.0
 
@@ -30,14 +31,15 @@
 class Host:
     """A register that follows the store."""
 
-    def __init__(self, address, clock):
+    def __init__(self, address, clock, settings=SETTINGS, source_type=StoredSuspects):
+        self.address = address
         metrics = Metrics()
         calls = metrics.counter("calls", "Calls.", ("call",))
         self.store = StoreClient(address, 0.3, calls, EraWatch(metrics))
-        self.register = PoisonRegister(SETTINGS, clock)
-        source = StoredSuspects(self.store, clock)
-        turns = WriteTurns(SETTINGS, random.Random(1))
-        self._follower = PoisonFollower(source, self.register, SETTINGS, clock, turns)
+        self.register = PoisonRegister(settings, clock)
+        source = source_type(self.store, clock)
+        turns = WriteTurns(settings, random.Random(1))
+        self._follower = PoisonFollower(source, self.register, settings, clock, turns)
         self._tasks = []
 
     async def start(self):
@@ -240,3 +242,36 @@
         assert store.topics[TOPIC].end == 2
 
     run_hosts(test)
+
+
+class SlowSource(StoredSuspects):
+    """Takes as long to read all as entries may choose their turns from."""
+
+    async def read_all(self):
+        """Return all changes, late."""
+        changes = await super().read_all()
+        await curio.sleep(SLOW.write_spread_s)
+        return changes
+
+
+def test_turn_after_a_restore_counts_from_the_read():
+    """Guards against hosts that write together once a slow store has answered all."""
+
+    async def test(store, clock, one, two):
+        host = Host(one.address, SYSTEM_CLOCK, SLOW, SlowSource)
+        store.keep_copy()
+        await host.start()
+        await host.end_targets(POISON, "i-1", "i-2", "i-3")
+        await until(lambda: stored(store) == {POISON})
+        store.restore()
+        calls_before = len(store.calls)
+        await host.store.eras.note(store.era, "a peer")
+        # The next call after the whole read waits for changes.
+        await until(lambda: "/siskinthread/log-read" in store.calls[calls_before:])
+        await curio.sleep(SLOW.write_spread_s / 2)
+        is_stored_soon = bool(stored(store))
+        await until(lambda: stored(store) == {POISON})
+        await host.stop()
+        assert not is_stored_soon
+
+    run_hosts(test)
--- a/siskinthread/poison_requests/_following.py
+++ b/siskinthread/poison_requests/_following.py
@@ -89,6 +89,9 @@
                 # The others get an answer again at about the same moment.
                 self._is_lost = False
                 self._write_turn = None
+            if not self._was_read.is_set():
+                # Some entries may have got no answer for seconds.
+                self._write_turn = self._next_turn(first_wait_s=0.0)
             await self._take_all(changes, position)
             if changes:
                 await curio.sleep(self._settings.store_pause_s)
