--- a/siskinthread/group_maps/_change.py
+++ b/siskinthread/group_maps/_change.py
@@ -42,7 +42,7 @@
 # A hold names a pass that may have begun, and the next one is tried then.  A try takes
 # a few milliseconds and a pass some ten times that.
 HOLD_TRIES = 8
-# A rank that turns slow makes passes some times longer within one change.
+# How many times longer passes may have become since the last one was reported.
 SLOWDOWN = 4
 # Ranks start copying some milliseconds after an order's answer is on its way.
 COPY_MARGIN_S = 0.01
@@ -307,10 +307,11 @@
 
 
 def _pass_numbers(passes):
-    """Return passes that a group may be at, to be tried in this order.
+    """Return the passes that a group may be at, in the order to try them.
 
-    The first one is too early unless passes have become longer; taken to be where it
-    would be otherwise, the group begins pass after long pass before the change.
+    The first one holds if passes have just become longer; a group that is taken to be
+    further on makes several long passes before the change.  Otherwise it has begun,
+    and the order to hold it is refused.
     """
     likely = passes.number_now()
     earlier = passes.number_now(SLOWDOWN)
--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -67,16 +67,15 @@
         default=8,
         minimum=0,
         description="Entries that take their turns one after the other. More than are "
-        "probably gone at once, without that the others wait for minutes.",
+        "probably gone at once; with all of a large fleet it would take minutes.",
     )
     write_spread_s = Item(
         float,
         default=4.0,
         minimum=0.0,
         description="Time over which all other entries, and those that hear of no "
-        "other, choose their turns at random, late ones more often. Of 300 entries "
-        "that hear of no other, 1.1 write on average before they read of it after 20 "
-        "ms.",
+        "other, choose their turns at random, late ones more often. Long beside the 20 "
+        "ms after which a write is read of.",
     )
     told_limit = Item(
         int,
--- a/siskinthread/poison_requests/_write_turns.py
+++ b/siskinthread/poison_requests/_write_turns.py
@@ -2,9 +2,9 @@
 
 import math
 
-# Above the entries that the spread is meant for, more of them choose the same moment.
+# Entries that the spread is meant for; of more, several would choose the same moment.
 FLEET_COUNT = 400
-# The name under which entries find their order.
+# Name by which all entries find the same order.
 MATTER = "suspects"
 
 
@@ -25,9 +25,7 @@
 
     Notes
     -----
-    Turns that each entry draws evenly from a span meet the sooner the more entries
-    there are: with 24 of them, five of six restores of the store were followed by two
-    writes or three.
+    Evenly drawn turns would coincide more often the more entries there are.
     """
 
     __slots__ = ("_random", "_settings", "peers")
@@ -48,10 +46,10 @@
         return settings.write_steps_limit * settings.write_step_s + self._spread_s()
 
     def _spread_s(self):
-        """Return a time within the spread, whose density rises exponentially.
+        """Return a random time within the spread, whose density rises exponentially.
 
-        Whatever the number of entries, about one of them comes first by more than a
-        fraction of the spread.
+        Few entries choose early times, so that the first one is seldom followed at
+        once, whatever their number.
         """
         rate = math.log(FLEET_COUNT) + 1
         share = math.log1p(self._random.random() * math.expm1(rate)) / rate
