Log the shared parts of prompts and how far a lost answer had come

Each request's line and each line "target ended under a request" now name the first eight shared parts of the prompt; the latter also says whether a head had come and for how long events had.

Decoding tests pass; no decision is changed.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -114,6 +114,8 @@
         Whether another rank of the target's group is what failed.
     has_head : bool
         Whether the head of the answer has come.
+    first_event_at_s : float or None
+        When the first event of a stream came, monotonic seconds.
     has_free_slots : bool
         Whether the target, as its answer says, has slots that are free.
     backoff_asked_s : float
@@ -133,6 +135,7 @@
         "_should_leave",
         "answer",
         "entry",
+        "first_event_at_s",
         "has_free_slots",
         "has_head",
         "has_target_ended",
@@ -167,6 +170,7 @@
         self.reason = ""
         self.written = False
         self.has_head = False
+        self.first_event_at_s = None
         self.has_target_ended = None
         self.is_broken_off = False
         self.is_success = False
@@ -215,6 +219,12 @@
             return self.is_broken_off and not self.is_stale
         return self.result is AttemptResult.FAILED
 
+    def written_s(self):
+        """Return for how long events of a stream have come, seconds; 0 before any."""
+        if self.first_event_at_s is None:
+            return 0.0
+        return self._parts.clock.monotonic_s() - self.first_event_at_s
+
     def release(self):
         """Count what is held of the answer as free: it is written now or dropped."""
         self._held.release()
@@ -399,6 +409,8 @@
                 return
             if not self._reply.has_begun:
                 await self._reply.begin(head)
+            if self.first_event_at_s is None:
+                self.first_event_at_s = self._parts.clock.monotonic_s()
             progress.event_came()
             self._parts.waiting_room.note_served(self.entry.service_name)
             self._running.events_came(events.count)
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -248,6 +248,7 @@
         target = attempt.entry.instance_id
         # One that leaves ends as planned.
         is_serving = self._parts.targets.is_serving(target)
+        written_s = attempt.written_s()
         attempt.has_target_ended = await has_ended(attempt.entry, self._parts.settings)
         if not attempt.has_target_ended:
             return
@@ -256,6 +257,9 @@
             target=target,
             id=self._request.request_id,
             fingerprint=self._request.fingerprint,
+            shared_parts=self._request.logged_parts(),
+            has_head=attempt.has_head,
+            written_s=round(written_s, 3),
             was_leaving=not is_serving,
         )
         if is_serving:
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -2,6 +2,9 @@
 
 from siskinthread.poison_requests import fingerprint
 
+# Ids of parts in a log line.
+LOGGED_PARTS_LIMIT = 8
+
 
 class TokenCounts:
     """Size of a request to a model.
@@ -36,6 +39,9 @@
         Its size, if the caller states it.
     output_hint : int or None
         The caller's estimate of the tokens of the answer, which is often far off.
+    shared_parts : tuple of str
+        Ids of the parts of its prompt that other requests may have as well, in their
+        order: all but the last one, which is its own.
     """
 
     __slots__ = (
@@ -43,6 +49,7 @@
         "last_event_id",
         "output_hint",
         "request_id",
+        "shared_parts",
         "token_counts",
         "wait_limit_s",
     )
@@ -55,6 +62,7 @@
         last_event_id=None,
         token_counts=None,
         output_hint=None,
+        shared_parts=(),
     ):
         self.request_id = request_id
         self.api_key = api_key
@@ -62,6 +70,7 @@
         self.last_event_id = last_event_id
         self.token_counts = token_counts
         self.output_hint = output_hint
+        self.shared_parts = shared_parts
 
 
 class GatewayRequest:
@@ -150,6 +159,10 @@
             self._fingerprint = fingerprint(host, self.head.target, caller, self.body)
         return self._fingerprint
 
+    def logged_parts(self):
+        """Return the ids of the first shared parts of its prompt, for the log."""
+        return list(self.facts.shared_parts[:LOGGED_PARTS_LIMIT])
+
     @property
     def kind(self):
         """What may be repeated, a `RequestKind`."""
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -181,6 +181,8 @@
         if request is not None:
             fields["priority"] = request.priority
             fields["fingerprint"] = request.fingerprint
+            if request.facts.shared_parts:
+                fields["shared_parts"] = request.logged_parts()
             fields["version"] = request.table_version
             if request.account is not None:
                 fields["account"] = request.account.name
--- a/siskinthread/platform/_wire.py
+++ b/siskinthread/platform/_wire.py
@@ -17,6 +17,10 @@
 # Tokens of the prompt, and the most tokens of the answer.
 TOKEN_COUNTS = "x-token-counts"
 OUTPUT_HINT = "x-length-hint"
+# Parts of the prompt in their order, each as ID:TOKENS with a hexadecimal id.
+PROMPT_PARTS = "x-prompt-prefix"
+# Parts of a prompt that are read; those behind them count as its own.
+PROMPT_PARTS_LIMIT = 512
 # Name of the client account; servers never see its key.
 ACCOUNT = "x-tenant"
 EXPECTED_INSTANCE = "x-expect-instance"
@@ -59,6 +63,7 @@
             last_event_id,
             _token_counts(head.value(TOKEN_COUNTS)),
             _number(head.value(OUTPUT_HINT)),
+            _shared_parts(head.value(PROMPT_PARTS)),
         )
 
     def target_headers(self, request, entry, last_event_id):
@@ -150,6 +155,16 @@
     return TokenCounts(*numbers)
 
 
+def _shared_parts(text):
+    """Return the ids of all parts of a prompt but the last one."""
+    if text is None:
+        return ()
+    parts = text.split(",", PROMPT_PARTS_LIMIT)[:-1]
+    ids = [part.partition(":")[0].strip().lower() for part in parts]
+    # Each part once, in the order of the prompt.
+    return tuple(dict.fromkeys(one for one in ids if one))
+
+
 def _load(text):
     if text is None:
         return None
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -178,6 +178,24 @@
     assert (None if counts is None else (counts.prompt, counts.most_output)) == sizes
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("5c1e07a2:800,91BD3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        ("5c1e07a2:800", ()),
+        ("a:1,,:3,a:4, b ,c:1", ("a", "b")),
+        (",".join(f"{number:x}:1" for number in range(600)), None),
+        ("", ()),
+        (None, ()),
+    ],
+)
+def test_shared_parts_of_a_prompt(text, parts):
+    """The last part is the request's own; what is not an id names no part."""
+    headers = [] if text is None else [("x-prompt-prefix", text)]
+    read = PlatformWire().read_request(RequestHead("GET", "/", headers)).shared_parts
+    assert len(read) == 512 if parts is None else read == parts
+
+
 def test_objectives_of_a_route():
     """An objective is published for each route, a permitted pause for streams."""
     table = read_route_table("config", published())
