--- a/siskinthread/platform/tests/fleet.py
+++ b/siskinthread/platform/tests/fleet.py
@@ -145,13 +145,14 @@
             await task.cancel()
         self._tasks = []
 
-    async def request(self, path, body, key=KEY):
+    async def request(self, path, body, key=KEY, headers=()):
         """Send one request on a new connection; return the whole response."""
         client = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
         try:
             await client.connect(self.address)
             number = self._fleet.next_number()
-            await client.sendall(request_bytes(number, path, "POST", body, (), key))
+            data = request_bytes(number, path, "POST", body, headers, key)
+            await client.sendall(data)
             return await read_response(client)
         finally:
             await client.close()
--- /dev/null
+++ b/siskinthread/platform/tests/test_crashing_parts.py
@@ -0,0 +1,122 @@
+"""Parts of prompts under which servers end, on entries that share servers."""
+
+import itertools
+
+import curio
+import pytest
+
+from siskinthread.platform.tests.fleet import run_fleet
+from siskinthread.platform.tests.system import status_of, STREAM_PATH
+from siskinthread.timing import SYSTEM_CLOCK
+from standins import platform_behaviours as faults
+
+pytestmark = pytest.mark.running_clock
+
+# From here on the platform's rule counts requests that reach servers, after the fifth
+# server has ended, and three may.
+WINDOW_S = 3.0
+LATE_LIMIT = 3
+# Servers that may end in all where such requests come a few times a second.
+ENDS_LIMIT = 6
+CRASHING = "badc0de"
+FIRST = "f1257"
+SUBJECTS = ("5ab1", "5ab2", "5ab3", "5ab4")
+
+
+def prompt(number, *parts):
+    """Return the header that states a prompt, whose last part no other request has."""
+    listed = ",".join(f"{part}:40" for part in (*parts, f"{number:x}"))
+    return [f"X-Prompt-Prefix: {listed}"]
+
+
+class Traffic:
+    """Requests with a crashing part beside others, at any entry in turn.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Entries and servers.
+    end : callable
+        What a server does with a request that has the part.
+    """
+
+    def __init__(self, fleet, end):
+        self._fleet = fleet
+        self._end = end
+        self._numbers = itertools.count(1)
+        # When requests with the part reached a server, seconds.
+        self.reached_at_s = []
+        # Status by time of sending, of requests without the part.
+        self.sound = []
+        for server in fleet.servers:
+            server.serve_by(self._serve)
+
+    async def _serve(self, server, request, client):
+        if CRASHING in request.headers.get("x-prompt-prefix", ""):
+            self.reached_at_s.append(SYSTEM_CLOCK.monotonic_s())
+            return await self._end(server, request, client)
+        return await faults.stream(1, 5, gap_s=0.01)(server, request, client)
+
+    async def send(self, parts_of, interval_s, until_s, outcomes=None):
+        """Send requests until a time; note how those were answered."""
+        async with curio.TaskGroup() as group:
+            while SYSTEM_CLOCK.monotonic_s() < until_s:
+                number = next(self._numbers)
+                headers = prompt(number, *parts_of(number))
+                entry = self._fleet.entries[number % len(self._fleet.entries)]
+                await group.spawn(self._request, entry, headers, outcomes)
+                await curio.sleep(interval_s)
+
+    async def _request(self, entry, headers, outcomes):
+        sent_at_s = SYSTEM_CLOCK.monotonic_s()
+        response = await entry.request(STREAM_PATH, b"prompt", headers=headers)
+        if outcomes is not None:
+            is_whole = status_of(response) == 200 and b"token 5" in response
+            outcomes.append((sent_at_s, is_whole))
+
+
+def sound_parts(number):
+    """Return the shared parts of a request that ends nothing."""
+    return FIRST, SUBJECTS[number % len(SUBJECTS)]
+
+
+@pytest.mark.parametrize(
+    ("crashing_parts", "end"),
+    [
+        pytest.param(
+            lambda number: (FIRST, CRASHING), faults.end_under_request, id="middle"
+        ),
+        pytest.param(
+            lambda number: (CRASHING, SUBJECTS[number % 4]),
+            faults.end_behind_head("Transfer-Encoding: chunked"),
+            id="front",
+        ),
+        pytest.param(
+            lambda number: (*sound_parts(number), CRASHING),
+            faults.end_behind_head(),
+            id="third-unframed",
+        ),
+    ],
+)
+def test_part_that_ends_servers_is_kept_from_them_by_every_entry(crashing_parts, end):
+    """Requests with one part of a prompt ended server after server, no two alike."""
+
+    async def test(fleet):
+        traffic = Traffic(fleet, end)
+        started_at_s = SYSTEM_CLOCK.monotonic_s()
+        async with curio.TaskGroup() as group:
+            until_s = started_at_s + 9.5
+            await group.spawn(traffic.send, sound_parts, 0.1, until_s, traffic.sound)
+            await curio.sleep(1.0)
+            await group.spawn(traffic.send, crashing_parts, 0.4, until_s)
+        return traffic
+
+    traffic = run_fleet(test, entry_count=2, server_count=12)
+    ends_at_s = traffic.reached_at_s
+    fifth_at_s = ends_at_s[min(4, len(ends_at_s) - 1)]
+    late = [at_s for at_s in ends_at_s if at_s > fifth_at_s + WINDOW_S]
+    assert len(late) <= LATE_LIMIT
+    assert len(ends_at_s) <= ENDS_LIMIT
+    served = [is_whole for at_s, is_whole in traffic.sound if at_s > fifth_at_s + 6.0]
+    assert len(served) >= 10
+    assert sum(served) >= 0.95 * len(served)
--- a/standins/platform_behaviours.py
+++ b/standins/platform_behaviours.py
@@ -122,6 +122,29 @@
     await curio.sleep(FOR_EVER_S)
 
 
+def end_behind_head(*framing):
+    """Return a behaviour that sends the head of a stream, and then ends the server.
+
+    Parameters
+    ----------
+    *framing : str
+        Headers that say where the answer ends; without any, its connection does.
+    """
+
+    async def behaviour(server, request, client):
+        head = [
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {request.request_id}",
+            "Content-Type: text/event-stream",
+            *framing,
+            *sealed(),
+        ]
+        await client.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
+        await end_under_request(server, request, client)
+
+    return behaviour
+
+
 async def end_process(server, request, client):
     """Begin to run the request, and end the whole process before the answer."""
     await curio.sleep(CRASH_AFTER_S)
