Keep requests with a part under which targets end from them

Callers saw over a tenth of all streams not served for 35 s: 17 servers ended, one pair after the other, under requests no two of which were alike. Cause: a request that ends targets was known by its whole content, so that each of these counted by itself; what ends targets is one part of their prompts. Class: evidence kept under a key that is narrower than the cause.

The register of suspected requests now also keeps ends by part. A part that was never answered is suspected after two ends, one that was answered after ends at four moments that no other suspected part explains. Requests with it are refused but for one try at a time, by an order of hosts that widens; a whole answer clears it, an end under a try keeps it off for ten minutes. News, store and following are those of whole requests.

--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -47,6 +47,7 @@
         "_reply",
         "_request",
         "_sent_count",
+        "_trial",
         "_tried_ids",
     )
 
@@ -61,6 +62,8 @@
         # Its place there, until an attempt has taken it over.
         self._next_permit = None
         self._sent_count = 0
+        # That the request tries suspected parts of its prompt.
+        self._trial = None
         self._tried_ids = set()
 
     async def run(self):
@@ -78,6 +81,9 @@
         )
         self._parts.returns.note_came(self._request)
         self._parts.load_control.note_asked(self._request)
+        self._parts.part_guard.note_asked(
+            self._request.service_name, self._request.part_names
+        )
         account = self._request.account
         if account is not None:
             self._parts.accounts.started(account.name)
@@ -86,6 +92,7 @@
         finally:
             if self._next_permit is not None:
                 self._next_permit.release()
+            self._end_trial()
             for attempt in self._attempts:
                 attempt.release()
             if account is not None:
@@ -190,7 +197,7 @@
         # know, one request ended nine targets, and their groups with them.
         kept_off = self._parts.poison.kept_off_until(self._request.fingerprint)
         if kept_off is None:
-            return None
+            return self._kept_off_for_part()
         return End(
             Outcome.REFUSED_NOT_RUN,
             Reason.ENDS_TARGETS,
@@ -198,6 +205,29 @@
             retry_after_s=kept_off.left_s(),
         )
 
+    def _kept_off_for_part(self):
+        """Return the `End` of a request with a part that ends targets, or None."""
+        request = self._request
+        self._end_trial()
+        admission = self._parts.part_guard.admit(
+            request.service_name, request.part_names
+        )
+        self._trial = admission.trial
+        if admission.kept_off_until is None:
+            return None
+        return End(
+            Outcome.REFUSED_NOT_RUN,
+            Reason.ENDS_TARGETS,
+            "Targets have ended under requests with a part of its prompt "
+            f"({admission.part}); it is not sent to any other.",
+            retry_after_s=admission.kept_off_until.left_s(),
+        )
+
+    def _end_trial(self):
+        if self._trial is not None:
+            self._parts.part_guard.release(self._trial)
+            self._trial = None
+
     def _should_leave(self, attempt):
         """Return whether a stream goes on elsewhere, and choose where.
 
@@ -236,6 +266,7 @@
         """Note what the attempt shows of the request itself, for all its tries."""
         if attempt.result is AttemptResult.ANSWERED and attempt.is_success:
             await self._parts.poison.answered(self._request.fingerprint)
+            await self._parts.part_guard.answered(self._request.part_names)
         elif attempt.result is AttemptResult.LOST and attempt.is_broken_off:
             await self._look_at_target(attempt)
 
@@ -262,8 +293,13 @@
             written_s=round(written_s, 3),
             was_leaving=not is_serving,
         )
-        if is_serving:
-            await self._parts.poison.target_ended(self._request.fingerprint, target)
+        if not is_serving:
+            return
+        await self._parts.poison.target_ended(self._request.fingerprint, target)
+        if written_s <= self._parts.settings.poison.settled_s:
+            await self._parts.part_guard.target_ended(
+                self._request.part_names, target, self._trial
+            )
 
     def _group_of(self, entry):
         return self._parts.choice.group_of(entry.instance_id)
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -196,6 +196,7 @@
         peers.take_reading = self._hear_reading
         self._table_follower.fetch_told = fetch_table
         peers.poison = self.parts.poison
+        self.parts.part_guard.peers = peers
         peers.limits = self.parts.limits
         peers.take_backoffs = self.parts.avoided.hear
         peers.take_leaving = self.parts.targets.hear_leaving
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -22,7 +22,7 @@
 from siskinthread.gateway._waiting_room import WaitingRoom
 from siskinthread.http_server import BodyBudget
 from siskinthread.load_control import LoadControl
-from siskinthread.poison_requests import PoisonRegister
+from siskinthread.poison_requests import PartGuard, PoisonRegister
 from siskinthread.retry_budget import FleetPart, ServiceRetryBudgets
 from siskinthread.target_limits import ColdTargets, TargetBackoffs, TargetLimits
 
@@ -166,6 +166,7 @@
         "loads",
         "measures",
         "outages",
+        "part_guard",
         "poison",
         "pool",
         "progress",
@@ -209,6 +210,7 @@
         self.accounts = AccountShares(settings, clock)
         self.slow_targets = SlowTargets(settings, clock)
         self.poison = PoisonRegister(settings.poison, clock)
+        self.part_guard = PartGuard(settings.poison, clock, self.poison)
         self.limits = TargetLimits(settings.limits, clock, random)
         self.backoffs = TargetBackoffs(settings.backoff, clock, random)
         self.avoided = AvoidedTargets(settings, clock)
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -1,6 +1,6 @@
 """A caller's request on its way through the gateway."""
 
-from siskinthread.poison_requests import fingerprint
+from siskinthread.poison_requests import fingerprint, part_name
 
 # Ids of parts in a log line.
 LOGGED_PARTS_LIMIT = 8
@@ -112,6 +112,7 @@
 
     __slots__ = (
         "_fingerprint",
+        "_part_names",
         "account",
         "body",
         "deadline",
@@ -144,6 +145,7 @@
         self.has_promise = False
         self.is_return_promised = False
         self._fingerprint = None
+        self._part_names = None
 
     @property
     def request_id(self):
@@ -159,6 +161,15 @@
             self._fingerprint = fingerprint(host, self.head.target, caller, self.body)
         return self._fingerprint
 
+    @property
+    def part_names(self):
+        """Names under which the shared parts of its prompt are suspected, a tuple."""
+        if self._part_names is None:
+            self._part_names = tuple(
+                part_name(self.service_name, one) for one in self.facts.shared_parts
+            )
+        return self._part_names
+
     def logged_parts(self):
         """Return the ids of the first shared parts of its prompt, for the log."""
         return list(self.facts.shared_parts[:LOGGED_PARTS_LIMIT])
--- a/siskinthread/poison_requests/_register.py
+++ b/siskinthread/poison_requests/_register.py
@@ -1,4 +1,4 @@
-"""Which requests are kept off targets, as all entries together know."""
+"""Which requests and parts are suspected, as all entries together know."""
 
 import math
 from collections import OrderedDict
@@ -6,6 +6,8 @@
 import curio
 
 from siskinthread.observability import part_logger
+from siskinthread.poison_requests._answered_parts import AnsweredParts
+from siskinthread.poison_requests._part_names import is_part
 from siskinthread.poison_requests._statements import ENDS_LIMIT, tag_of
 from siskinthread.poison_requests._suspect import Suspect
 from siskinthread.timing import Deadline
@@ -25,6 +27,8 @@
 
     Attributes
     ----------
+    answered_parts : AnsweredParts
+        Parts of prompts that this entry has seen answered.
     is_write_due : curio.Event
         Set when the store should be told something.
 
@@ -47,6 +51,7 @@
         "_outdated",
         "_settings",
         "_suspects",
+        "answered_parts",
         "is_write_due",
     )
 
@@ -58,6 +63,7 @@
         self._answered = OrderedDict()
         # Requests of which the store has a record that counts no more.
         self._outdated = set()
+        self.answered_parts = AnsweredParts(settings)
         self.is_write_due = curio.Event()
 
     def kept_off_until(self, fingerprint):
@@ -83,6 +89,44 @@
         if suspect.add(tag_of(instance_id), now_s, is_cleared=False):
             await self._note_change(suspect, told_by=None)
 
+    def find(self, name):
+        """Return the `Suspect` of a request or part, or None."""
+        return self._suspects.get(name)
+
+    def suspects(self):
+        """Return every `Suspect`."""
+        return list(self._suspects.values())
+
+    async def target_ended_under_part(self, name, instance_id, is_trial):
+        """Note that a target has ended under a request of this entry with a part.
+
+        Parameters
+        ----------
+        name : str
+            The part, see `part_name`.
+        instance_id : str
+            The target.
+        is_trial : bool
+            Whether the request was a try of the part, which was suspected already.
+        """
+        suspect = self._suspect(name)
+        suspect.is_author = True
+        now_s = self._clock.monotonic_s()
+        if suspect.add(tag_of(instance_id), now_s, False, is_trial):
+            await self._note_change(suspect, told_by=None)
+
+    async def part_answered(self, name):
+        """Note that a request with a part was answered in full."""
+        self.answered_parts.note(name)
+        suspect = self._suspects.get(name)
+        if suspect is None:
+            return
+        is_new = not suspect.was_answered
+        suspect.was_answered = True
+        if suspect.clear() or is_new:
+            suspect.is_author = True
+            await self._note_change(suspect, told_by=None)
+
     async def answered(self, fingerprint):
         """Note that a target has answered a request in full, so that it lives on."""
         now_s = self._clock.monotonic_s()
@@ -143,7 +187,7 @@
         await self.hear([statement], told_by)
         suspect = self._suspects.get(statement.fingerprint)
         if suspect is not None:
-            suspect.note_stored(_counting_tags(statement))
+            suspect.note_stored(_counting_marks(statement))
             await self._wake_writer(suspect)
 
     async def note_dropped(self, fingerprint, told_by):
@@ -165,7 +209,7 @@
         """
         for suspect in self._suspects.values():
             suspect.is_author = False
-            suspect.stored_tags = frozenset()
+            suspect.stored_marks = frozenset()
             await self._wake_writer(suspect)
 
     def due_writes(self, is_in_turn):
@@ -197,21 +241,26 @@
         self._outdated.discard(fingerprint)
         suspect = self._suspects.get(fingerprint)
         if suspect is not None:
-            suspect.note_stored(() if statement is None else _counting_tags(statement))
+            suspect.note_stored(() if statement is None else _counting_marks(statement))
 
     def _is_outdated(self, statement):
         newest_s = min((end.age_s for end in statement.ends), default=math.inf)
         return newest_s > self._settings.memory_s
 
     def _should_be_written(self, suspect):
-        tags = suspect.counting_tags()
-        if tags == suspect.stored_tags:
+        marks = suspect.counting_marks()
+        if marks == suspect.stored_marks:
             return False
-        if not tags:
+        if not marks:
             return True
         # Entries need not have kept the same ends of those beyond the limit.
-        is_full = len(suspect.stored_tags) >= ENDS_LIMIT and not suspect.is_author
-        return len(tags) >= self._settings.stored_from_count and not is_full
+        is_full = len(suspect.stored_marks) >= ENDS_LIMIT and not suspect.is_author
+        return len(marks) >= self._stored_from_count(suspect) and not is_full
+
+    def _stored_from_count(self, suspect):
+        if suspect.was_answered:
+            return self._settings.answered_end_count
+        return self._settings.stored_from_count
 
     def _is_kept_off(self, suspect):
         return self._clock.monotonic_s() < self._kept_off_until_s(suspect)
@@ -231,6 +280,7 @@
         if suspect is None:
             self._make_room()
             suspect = self._suspects[fingerprint] = Suspect(fingerprint)
+            suspect.was_answered = self.answered_parts.knows(fingerprint)
         return suspect
 
     def _make_room(self):
@@ -245,6 +295,10 @@
 
     async def _note_change(self, suspect, told_by):
         suspect.changed_at_s = self._clock.monotonic_s()
+        if is_part(suspect.fingerprint):
+            self._log_part(suspect, told_by)
+            await self._wake_writer(suspect)
+            return
         until = self.kept_off_until(suspect.fingerprint)
         _logger.event(
             "request is suspected" if until is None else "request is kept off targets",
@@ -256,6 +310,17 @@
         )
         await self._wake_writer(suspect)
 
+    def _log_part(self, suspect, told_by):
+        _logger.event(
+            "part of prompts noted",
+            part=suspect.fingerprint,
+            ended_targets=len(suspect.counting_tags()),
+            ended_in_trials=len(suspect.trial_tags()),
+            was_answered=suspect.was_answered,
+            last_end_age_s=round(suspect.changed_at_s - suspect.last_at_s, 3),
+            told_by=told_by,
+        )
+
     async def _wake_writer(self, suspect):
         if self._should_be_written(suspect):
             await self.is_write_due.set()
@@ -291,5 +356,5 @@
         return newest + (rest + rest)[start : start + half]
 
 
-def _counting_tags(statement):
-    return [end.tag for end in statement.ends if not end.is_cleared]
+def _counting_marks(statement):
+    return [(end.tag, end.is_trial) for end in statement.ends if not end.is_cleared]
--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -39,6 +39,86 @@
         "more try shows whether it was the request. A target and its group need some 5 "
         "s to be back, a twelfth of this.",
     )
+    suspected_end_count = Item(
+        int,
+        default=2,
+        minimum=1,
+        description="Targets that may end under a part of prompts that was never "
+        "answered before it is tried one request at a time. One end shows nothing: a "
+        "target that ends for another reason has some ten requests.",
+    )
+    answered_end_count = Item(
+        int,
+        default=4,
+        minimum=1,
+        description="Separate moments at which targets may end under a part that was "
+        "answered before, with no answer since. Each end that has another cause takes "
+        "the requests beside it along.",
+    )
+    moment_s = Item(
+        float,
+        default=0.5,
+        minimum=0.0,
+        description="Ends closer together count as one moment. Targets of a host or "
+        "failure domain that is lost end within less.",
+    )
+    settled_s = Item(
+        float,
+        default=0.5,
+        minimum=0.0,
+        description="For how long events of a stream must have come for it to be no "
+        "evidence when its target ends. A part that ends targets does so within 0.2 s "
+        "of the first event.",
+    )
+    trial_wait_s = Item(
+        float,
+        default=1.0,
+        minimum=0.0,
+        description="Time from the last end to the first try of what is suspected. "
+        "Requests under way have had their effect and been told of by then.",
+    )
+    trial_step_s = Item(
+        float,
+        default=1.0,
+        minimum=0.01,
+        description="How long each number of hosts may try before it doubles. A try "
+        "that ends its target does so, and is told of, within half of it.",
+    )
+    joint_trial_wait_s = Item(
+        float,
+        default=3.0,
+        minimum=0.0,
+        description="How much later a request with several suspected parts is tried. "
+        "Requests with one of them tell more, and come meanwhile if there are any.",
+    )
+    usual_share = Item(
+        float,
+        default=0.5,
+        minimum=0.0,
+        description="Share of a service's requests from which on a part that was "
+        "answered before is not kept off. More, and the route would stop on evidence "
+        "that all of its requests have in common.",
+    )
+    usual_window_count = Item(
+        int,
+        default=128,
+        minimum=1,
+        description="Last requests of a service in which that share is counted.",
+    )
+    candidate_limit = Item(
+        int,
+        default=64,
+        minimum=1,
+        description="Parts of one request that are noted when its target ends, those "
+        "that were never answered first.",
+    )
+    answered_parts_limit = Item(
+        int,
+        default=4096,
+        minimum=0,
+        description="Answered parts of prompts that are remembered, the latest. Each "
+        "takes some 150 bytes, and services have some hundreds of shared parts.",
+    )
     memory_s = Item(
         float,
         default=3600.0,
