Notice that a target has ended behind an answer with neither length nor chunks

Callers were told 200 and a whole, empty stream, while the server had ended: of 40 tries of such a request all were answered so, and no end was noticed. Cause: a process that ends closes its connections in order, and an answer without a length ends with its connection. Class: the absence of an error taken for success.

The end of such an answer is believed once the target is seen to listen on, or has said that it leaves; else the attempt is lost, and resumed, repeated or answered 502 as the route allows. A stream that ends within an event counts as broken off by the target, so that the target is looked at. A look costs one connection, for answers without a length only.

--- a/siskinthread/gateway/_attempt.py
+++ b/siskinthread/gateway/_attempt.py
@@ -3,8 +3,10 @@
 import enum
 
 from siskinthread.errors import ConnectionLostError, TargetError, TargetSilentError
+from siskinthread.gateway._answer_framing import ends_with_connection
 from siskinthread.gateway._event_stream import EVENT_STREAM_TYPE, EventSplitter
 from siskinthread.gateway._stream_progress import StreamProgress
+from siskinthread.gateway._target_end import has_ended
 from siskinthread.target_limits import FREE_PERMIT
 
 STATUS_OK = 200
@@ -361,6 +363,8 @@
                 self._held.release()
                 await self._relay_rest(head, chunks)
                 return
+        if await self._ended_with_target(head):
+            return
         self.answer = WholeAnswer(head, b"".join(chunks))
         failed = head.status >= FIRST_SERVER_ERROR
         self.result = AttemptResult.FAILED if failed else AttemptResult.ANSWERED
@@ -377,6 +381,8 @@
             if data is None:
                 break
             await self._reply.write(data)
+        if await self._ended_with_target(head):
+            return
         await self._reply.end()
         self.result = AttemptResult.ANSWERED
 
@@ -421,12 +427,33 @@
                 return
         if splitter.rest:
             self._lose("the stream ended within an event")
+            self.is_broken_off = True
+            return
+        if await self._ended_with_target(head):
             return
         if not self._reply.has_begun:
             await self._reply.begin(head)
         await self._reply.end()
         self.result = AttemptResult.ANSWERED
 
+    async def _ended_with_target(self, head):
+        """Return whether an answer that ends with its connection was broken off.
+
+        A process that ends closes its connections in order, so that its answer looks
+        whole.  One that leaves as planned finishes its answers first.
+        """
+        if not ends_with_connection(head):
+            return False
+        if self.says_leaving or not self._parts.targets.is_serving(
+            self.entry.instance_id
+        ):
+            return False
+        if not await has_ended(self.entry, self._parts.settings):
+            return False
+        self._lose("the target ended with an answer that has no length")
+        self.is_broken_off = True
+        return True
+
     def _lose(self, reason):
         self.reason = reason
         self.result = AttemptResult.LOST
--- a/siskinthread/platform/tests/test_crashing_parts.py
+++ b/siskinthread/platform/tests/test_crashing_parts.py
@@ -19,6 +19,7 @@
 # Servers that may end in all where such requests come a few times a second.
 ENDS_LIMIT = 6
 CRASHING = "badc0de"
+STREAM_TYPE = "Content-Type: text/event-stream"
 FIRST = "f1257"
 SUBJECTS = ("5ab1", "5ab2", "5ab3", "5ab4")
 
@@ -88,12 +89,14 @@
         ),
         pytest.param(
             lambda number: (CRASHING, SUBJECTS[number % 4]),
-            faults.end_behind_head("Transfer-Encoding: chunked"),
+            faults.answer_unframed(
+                b"", STREAM_TYPE, "Transfer-Encoding: chunked", ends_server=True
+            ),
             id="front",
         ),
         pytest.param(
             lambda number: (*sound_parts(number), CRASHING),
-            faults.end_behind_head(),
+            faults.answer_unframed(b"", STREAM_TYPE, ends_server=True),
             id="third-unframed",
         ),
     ],
--- a/standins/platform_behaviours.py
+++ b/standins/platform_behaviours.py
@@ -122,29 +122,6 @@
     await curio.sleep(FOR_EVER_S)
 
 
-def end_behind_head(*framing):
-    """Return a behaviour that sends the head of a stream, and then ends the server.
-
-    Parameters
-    ----------
-    *framing : str
-        Headers that say where the answer ends; without any, its connection does.
-    """
-
-    async def behaviour(server, request, client):
-        head = [
-            "HTTP/1.1 200 OK",
-            f"X-Request-Id: {request.request_id}",
-            "Content-Type: text/event-stream",
-            *framing,
-            *sealed(),
-        ]
-        await client.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
-        await end_under_request(server, request, client)
-
-    return behaviour
-
-
 async def end_process(server, request, client):
     """Begin to run the request, and end the whole process before the answer."""
     await curio.sleep(CRASH_AFTER_S)
@@ -184,11 +161,33 @@
     return CLOSE
 
 
+def answer_unframed(data, *headers, ends_server=False):
+    """Return a behaviour that answers without a length or chunks.
+
+    Parameters
+    ----------
+    data : bytes
+        What comes before the connection's end.
+    *headers : str
+        Further headers.
+    ends_server : bool
+        Whether the connection ends since the server does.
+    """
+
+    async def behave(server, request, client):
+        lines = ["HTTP/1.1 200 OK", f"X-Request-Id: {request.request_id}"]
+        head = "\r\n".join([*lines, *headers, *sealed()])
+        await client.sendall(head.encode() + b"\r\n\r\n" + data)
+        if ends_server:
+            await end_under_request(server, request, client)
+        return CLOSE
+
+    return behave
+
+
 async def answer_until_close(server, request, client):
     """Answer without a length; the connection's end is the answer's."""
-    head = ["HTTP/1.1 200 OK", f"X-Request-Id: {request.request_id}", *sealed()]
-    await client.sendall("\r\n".join(head).encode() + b"\r\n\r\ndone\n")
-    return CLOSE
+    return await answer_unframed(b"done\n")(server, request, client)
 
 
 def event(number):
