--- a/siskinthread/poison_requests/_register.py
+++ b/siskinthread/poison_requests/_register.py
@@ -146,7 +146,7 @@
         told = [
             suspect
             for suspect in self._suspects.values()
-            if suspect.changed_at_s >= oldest_s or self._is_kept_off(suspect)
+            if self._is_told(suspect, oldest_s)
         ]
         told.sort(key=lambda suspect: -suspect.changed_at_s)
         return [one.statement(now_s) for one in self._share_of_turn(told, now_s)]
@@ -166,6 +166,8 @@
             if self._is_outdated(statement):
                 continue
             suspect = self._suspect(statement.fingerprint)
+            if suspect.was_answered and not statement.was_answered:
+                suspect.is_awaited = True
             if suspect.merge(statement, now_s):
                 if self._was_answered_lately(statement.fingerprint):
                     suspect.clear()
@@ -262,6 +264,18 @@
             return self._settings.answered_end_count
         return self._settings.stored_from_count
 
+    def _is_told(self, suspect, oldest_s):
+        """Return whether peers should be told of a suspect now.
+
+        Targets that end take many sound requests along, whose parts mostly have been
+        answered; one end under such a part is of no use to others.
+        """
+        is_known_sound = suspect.was_answered and not suspect.is_awaited
+        least = self._settings.suspected_end_count
+        if is_known_sound and len(suspect.counting_tags()) < least:
+            return False
+        return suspect.changed_at_s >= oldest_s or self._is_kept_off(suspect)
+
     def _is_kept_off(self, suspect):
         return self._clock.monotonic_s() < self._kept_off_until_s(suspect)
 
--- a/siskinthread/poison_requests/_suspect.py
+++ b/siskinthread/poison_requests/_suspect.py
@@ -36,6 +36,8 @@
         The ends that the store is known to have, as in `counting_marks`.
     was_answered : bool
         Whether a request with the part has been answered in full, within memory.
+    is_awaited : bool
+        Whether another entry has told of it and does not know that it was answered.
 
     Notes
     -----
@@ -48,6 +50,7 @@
         "changed_at_s",
         "fingerprint",
         "is_author",
+        "is_awaited",
         "stored_marks",
         "was_answered",
     )
@@ -59,6 +62,7 @@
         self.is_author = False
         self.stored_marks = frozenset()
         self.was_answered = False
+        self.is_awaited = False
 
     def add(self, tag, at_s, is_cleared, is_trial=False):
         """Take an end in; return whether that is new."""
