--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -213,8 +213,11 @@
             request.service_name, request.part_names
         )
         self._trial = admission.trial
+        if admission.trial is not None:
+            self._parts.measures.part_suspected("tried")
         if admission.kept_off_until is None:
             return None
+        self._parts.measures.part_suspected("refused")
         return End(
             Outcome.REFUSED_NOT_RUN,
             Reason.ENDS_TARGETS,
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -41,6 +41,7 @@
         "_backoffs",
         "_cold",
         "_connections",
+        "_parts",
         "_placed",
         "_preferences",
         "_requests",
@@ -72,6 +73,11 @@
             "Connections that attempts were sent on, new or kept.",
             ("kind",),
         )
+        self._parts = metrics.counter(
+            "gateway_suspected_parts",
+            "Requests with a suspected part of a prompt, tried or refused.",
+            ("result",),
+        )
         self._preferences = metrics.counter(
             "gateway_connection_preferences",
             "Choices of a target, by whether a kept connection decided.",
@@ -105,6 +111,10 @@
         """Count a choice in which the quota of a cold target was used up."""
         self._cold.labels(service_name).inc()
 
+    def part_suspected(self, result):
+        """Count a request with a suspected part, `tried` or `refused`."""
+        self._parts.labels(result).inc()
+
     def connection_taken(self, kind):
         """Count a connection that an attempt is sent on, `new` or `kept`."""
         self._connections.labels(kind).inc()
