Let the soak send requests that share only a crashing part of their prompts

Half of its callers whose requests end servers send bodies of their own with one part in common; all others state prompts of a shared first part and one of eight subjects.

--- a/scripts/soak/__main__.py
+++ b/scripts/soak/__main__.py
@@ -74,7 +74,8 @@
             caller = Caller(balancer, records, seed * MANY_CALLERS + number)
             await group.spawn(caller.run, period)
         for number in range(seed % (1 + MOST_ENDING_CALLERS)):
-            caller = EndingCaller(balancer, records, seed * MANY_CALLERS + number)
+            own_seed = seed * MANY_CALLERS + number
+            caller = EndingCaller(balancer, records, own_seed, number % 2 == 0)
             await group.spawn(caller.run, period)
     for task in background:
         await task.cancel()
--- a/scripts/soak/_callers.py
+++ b/scripts/soak/_callers.py
@@ -26,6 +26,8 @@
 AT_ONCE_SHARE = 0.2
 CHECK_INTERVAL_S = 1.0
 MISSES_LIMIT = 2
+FIRST_PART = "f1257"
+SUBJECTS_COUNT = 8
 PROBE_INTERVAL_S = 0.25
 PROBE_WAIT_S = 1.5
 
@@ -109,7 +111,11 @@
         request_id = f"soak-{self._records.next_number()}"
         started_s = time.monotonic()
         answer = await self._connection.call(
-            "POST", PATHS[kind], _headers(request_id, ACCOUNT_KEY), b"report", wait_s
+            "POST",
+            PATHS[kind],
+            [*_headers(request_id, ACCOUNT_KEY), _sound_prompt(request_id)],
+            b"report",
+            wait_s,
         )
         ended_s = time.monotonic()
         is_over = answer.whole or ended_s - started_s < wait_s
@@ -132,8 +138,26 @@
             await self._connection.close()
 
 
+def _sound_prompt(request_id):
+    """Return the header of a prompt about one of a few subjects."""
+    return _stated_prompt(request_id, f"5ab{_number(request_id) % SUBJECTS_COUNT}")
+
+
+def _stated_prompt(request_id, *parts):
+    """Return the header of a prompt whose last part no other request has."""
+    own = f"{_number(request_id):x}"
+    listed = ",".join(f"{part}:40" for part in (FIRST_PART, *parts, own))
+    return "x-prompt-prefix", listed
+
+
+def _number(request_id):
+    return int(request_id.rpartition("-")[2])
+
+
 class EndingCaller:
-    """Sends one request under which servers end, again and again.
+    """Sends requests under which servers end, again and again.
+
+    They are either alike, or have nothing in common but a part of their prompts.
 
     Parameters
     ----------
@@ -143,14 +167,17 @@
         Where the tries are noted.
     seed : int
         For everything that varies.
+    has_part : bool
+        Whether they share a part only.
     """
 
-    __slots__ = ("_balancer", "_body", "_kind", "_random", "_records")
+    __slots__ = ("_balancer", "_body", "_has_part", "_kind", "_random", "_records")
 
-    def __init__(self, balancer, records, seed):
+    def __init__(self, balancer, records, seed, has_part):
         self._balancer = balancer
         self._records = records
         self._random = random.Random(seed)
+        self._has_part = has_part
         self._kind = self._random.choice(KINDS)
         self._body = ENDING_MARK + f" of {seed}".encode()
 
@@ -171,9 +198,12 @@
         connection = CallerConnection(gateway.callers, CALLER_HOST)
         started_s = time.monotonic()
         path = PATHS[self._kind]
-        answer = await connection.call(
-            "POST", path, _headers(request_id, ACCOUNT_KEY), self._body, ANSWER_WAIT_S
-        )
+        headers = _headers(request_id, ACCOUNT_KEY)
+        body = self._body
+        if self._has_part:
+            headers.append(_stated_prompt(request_id, self._body.hex()))
+            body += f", {request_id}".encode()
+        answer = await connection.call("POST", path, headers, body, ANSWER_WAIT_S)
         await connection.close()
         record = CallRecord(
             request_id,
@@ -184,6 +214,7 @@
             started_s,
             time.monotonic(),
             ending_body=self._body,
+            has_ending_part=self._has_part,
         )
         self._records.calls.append(record)
 
--- a/scripts/soak/_promises.py
+++ b/scripts/soak/_promises.py
@@ -45,6 +45,9 @@
 # Twice what a stream lasts; with less the machine left the gateways no time to serve.
 SERVING_S = 0.5
 ENDED_SERVERS_LIMIT = 3
+# After so many ends under a part of prompts, so many more requests may reach servers.
+ENDED_UNDER_PART_LIMIT = 5
+LATE_WITH_PART_LIMIT = 3
 STORE = ("store", "store")
 
 
@@ -449,7 +452,8 @@
 def not_kept_off(records, runs):
     """Requests under which three servers have ended, and that go on to reach others.
 
-    By gateways that have had a stable window to hear of it.
+    By gateways that have had a stable window to hear of it.  Where they share a part of
+    their prompts only, more than three after five ends.
     """
     tries = {call.request_id: call for call in records.calls if call.ending_body}
     arrivals = collections.defaultdict(list)
@@ -465,18 +469,21 @@
     broken = []
     for (kind, body), of_request in arrivals.items():
         ends_s = sorted(at_s for at_s, _, has_ended in of_request if has_ended)
-        if len(ends_s) < ENDED_SERVERS_LIMIT:
+        ends_limit, late_limit = ENDED_SERVERS_LIMIT, 0
+        if of_request[0][1].has_ending_part:
+            ends_limit, late_limit = ENDED_UNDER_PART_LIMIT, LATE_WITH_PART_LIMIT
+        if len(ends_s) < ends_limit:
             continue
-        third_s = ends_s[ENDED_SERVERS_LIMIT - 1]
+        shown_s = ends_s[ends_limit - 1]
         later = [
             call
             for at_s, call, _ in of_request
-            if call.started_s > third_s + STABLE_WINDOW_S
+            if call.started_s > shown_s + STABLE_WINDOW_S
             and _is_in_touch_with_store(records, call.gateway, call.started_s, at_s)
         ]
-        if later:
-            text = f"{len(later)} tries after 3 ends: {kind} {body}, {later[0]}"
-            broken.append(Finding(text, third_s, later[-1].ended_s))
+        if len(later) > late_limit:
+            text = f"{len(later)} tries after {ends_limit} ends: {kind} {body}, "
+            broken.append(Finding(text + str(later[0]), shown_s, later[-1].ended_s))
     return broken
 
 
--- a/scripts/soak/_records.py
+++ b/scripts/soak/_records.py
@@ -65,6 +65,8 @@
         Whether the caller meant to leave before the end.
     ending_body : bytes
         Body under which servers end, if it had one; all tries with it are one request.
+    has_ending_part : bool
+        Whether that stands for a part of prompts, and no two requests are alike.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         "ended_s",
         "ending_body",
         "gateway",
+        "has_ending_part",
         "kind",
         "left",
         "path",
@@ -90,6 +93,7 @@
         ended_s,
         left=False,
         ending_body=b"",
+        has_ending_part=False,
     ):
         self.request_id = request_id
         self.kind = kind
@@ -100,6 +104,7 @@
         self.ended_s = ended_s
         self.left = left
         self.ending_body = ending_body
+        self.has_ending_part = has_ending_part
 
     @property
     def is_served(self):
