--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -47,6 +47,14 @@
         "answered before it is tried one request at a time. One end shows nothing: a "
         "target that ends for another reason has some ten requests.",
     )
+    separate_s = Item(
+        float,
+        default=0.1,
+        minimum=0.0,
+        description="Ends closer together count as one of these. Targets that are "
+        "lost together end within less, and peers that have seen an answer to a part "
+        "say so within it.",
+    )
     answered_end_count = Item(
         int,
         default=4,
--- a/siskinthread/poison_requests/_suspicion.py
+++ b/siskinthread/poison_requests/_suspicion.py
@@ -71,20 +71,27 @@
         return self._unexplained_moments(suspect) >= self._settings.answered_end_count
 
     def _is_suspected_unanswered(self, suspect):
-        end_count = len(suspect.counting_tags())
-        least = self._settings.suspected_end_count
-        return not suspect.was_answered and end_count >= least
+        if suspect.was_answered:
+            return False
+        times_s = suspect.counting_ends().values()
+        count = _moments_count(times_s, self._settings.separate_s)
+        return count >= self._settings.suspected_end_count
 
     def _unexplained_moments(self, suspect):
-        times_s = sorted(
+        times_s = [
             at_s
             for tag, at_s in suspect.counting_ends().items()
             if tag not in self._explained
-        )
-        count = 0
-        last_s = None
-        for at_s in times_s:
-            if last_s is None or at_s - last_s >= self._settings.moment_s:
-                count += 1
-                last_s = at_s
-        return count
+        ]
+        return _moments_count(times_s, self._settings.moment_s)
+
+
+def _moments_count(times_s, least_s):
+    """Return how many of some times are apart from one another, in their order."""
+    count = 0
+    last_s = None
+    for at_s in sorted(times_s):
+        if last_s is None or at_s - last_s >= least_s:
+            count += 1
+            last_s = at_s
+    return count
--- a/siskinthread/poison_requests/tests/part_fleet.py
+++ b/siskinthread/poison_requests/tests/part_fleet.py
@@ -31,6 +31,7 @@
 
     def __init__(self, clock, place=0, count=1, settings=None):
         settings = PoisonSettings() if settings is None else settings
+        self.clock = clock
         self.register = PoisonRegister(settings, clock)
         self.guard = PartGuard(settings, clock, self.register)
         self.guard.peers = self
