--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -49,11 +49,11 @@
     )
     separate_s = Item(
         float,
-        default=0.1,
+        default=0.03,
         minimum=0.0,
         description="Ends closer together count as one of these. Targets that are "
-        "lost together end within less, and peers that have seen an answer to a part "
-        "say so within it.",
+        "lost together end at one moment; each tenth of a second more would let one "
+        "more target end where crashing requests come often.",
     )
     answered_end_count = Item(
         int,
