--- a/siskinthread/platform/tests/test_crashing_parts.py
+++ b/siskinthread/platform/tests/test_crashing_parts.py
@@ -141,7 +141,7 @@
 
 def knows_part(entry):
     """Return whether an entry knows of a try under which a server has ended."""
-    return any(one.trial_tags() for one in entry.gateway.parts.poison.suspects())
+    return any(one.trial_tags() for one in entry.gateway.parts.poison.suspected_parts())
 
 
 @pytest.mark.parametrize("lonely_count", [0, 1])
--- a/siskinthread/poison_requests/_register.py
+++ b/siskinthread/poison_requests/_register.py
@@ -97,10 +97,6 @@
         """Return the `Suspect` of a request or part, or None."""
         return self._suspects.get(name)
 
-    def suspects(self):
-        """Return every `Suspect`."""
-        return list(self._suspects.values())
-
     def suspected_parts(self):
         """Return the `Suspect` of each part under which targets have ended."""
         return [one for name, one in self._suspects.items() if is_part(name)]
--- a/siskinthread/poison_requests/tests/part_fleet.py
+++ b/siskinthread/poison_requests/tests/part_fleet.py
@@ -6,8 +6,8 @@
 from siskinthread.poison_requests import PartGuard, PoisonRegister, PoisonSettings
 from siskinthread.timing import ManualClock
 
+# The part under which targets end, and one that every request has.
 CRASHING = "p-crashing"
-# Symbolic parts that most requests share.
 FIRST = "p-first"
 SERVICE = "llm"
 TARGET_DOWN_S = 5.0
@@ -52,7 +52,7 @@
 
     def news(self):
         """Return what it has to tell, and whether anything of it is new."""
-        suspects = self.register.suspects()
+        suspects = self.register.suspected_parts()
         changed_at_s = max((one.changed_at_s for one in suspects), default=0.0)
         if changed_at_s <= self._told_at_s:
             return [], False
--- a/siskinthread/poison_requests/tests/test_part_guard.py
+++ b/siskinthread/poison_requests/tests/test_part_guard.py
@@ -192,7 +192,7 @@
         await end(entry, ["i-0"], CRASHING)
         names = [f"p-{number}" for number in range(500)]
         await end(entry, ["i-1"], *names, CRASHING)
-        return len(entry.register.suspects()), kept_off_s(entry, CRASHING) > 0
+        return len(entry.register.suspected_parts()), kept_off_s(entry, CRASHING) > 0
 
     assert curio.run(run) == (SETTINGS.candidate_limit, True)
 
