Log by whose word targets are listed, dropped and kept

Change: told_by in these lines; a line for lists that name targets which have left.

No change of logic; gateway tests, test_outages and test_hand_out pass.

--- a/siskinthread/gateway/_snapshots.py
+++ b/siskinthread/gateway/_snapshots.py
@@ -221,7 +221,8 @@
             )
         if with_targets:
             entries = self._targets.without_gone(snapshot.entries, snapshot.kept_ids)
-            self._targets.replace(entries, is_sure=is_informed)
+            told_by = f"snapshot of {address}"
+            self._targets.replace(entries, is_sure=is_informed, told_by=told_by)
             if is_informed:
                 self._targets.note_confirmed()
         return True
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -222,7 +222,7 @@
         left_s = self._age_limit_s() - age_s
         if left_s <= 0:
             return False
-        self._take_told(told, age_s)
+        self._take_told(told, age_s, address)
         self._next_read = Deadline.after(self._clock, left_s)
         await self._pass_on(self._clock.monotonic_s() - age_s)
         return True
@@ -243,11 +243,11 @@
         _logger.event("reader hands out an older list", reader=str(address))
         return None
 
-    def _take_told(self, told, age_s):
+    def _take_told(self, told, age_s, teller):
         self._position = told.position
         self._digest.replace(told.entries)
         self._source.take_told(told)
-        self._targets.replace(told.entries)
+        self._targets.replace(told.entries, told_by=f"reader {teller}")
         self._targets.note_confirmed(age_s)
 
     async def _pass_on(self, confirmed_at_s):
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -10,6 +10,10 @@
 # within minutes.
 GONE_LIMIT = 1024
 
+# Who told of a change, for the log.
+SOURCE = "its source"
+GRACE = "the end of its grace"
+
 _logger = part_logger("gateway")
 
 
@@ -168,8 +172,16 @@
         """Note that the source of the entries is away at this moment."""
         self._grace = Deadline.after(self._clock, self._settings.lapse_grace_s)
 
-    def put(self, entry):
-        """Take an entry in, or its newer state."""
+    def put(self, entry, told_by=SOURCE):
+        """Take an entry in, or its newer state.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            The entry.
+        told_by : str
+            Who told of it, for the log.
+        """
         if entry.instance_id in self._replaced:
             return
         self._note_restart(entry)
@@ -192,12 +204,13 @@
                 address=f"{entry.host}:{entry.port}",
                 failure_domain=entry.failure_domain,
                 leaving=entry.is_leaving,
+                told_by=told_by,
             )
         if entry.is_leaving and not (known is not None and known.is_leaving):
-            _logger.event("target leaves", target=entry.instance_id, told_by="list")
+            _logger.event("target leaves", target=entry.instance_id, told_by=told_by)
             self._tell(entry)
 
-    def vanish(self, listed_id):
+    def vanish(self, listed_id, told_by=SOURCE):
         """Note that an entry is not listed any more."""
         instance_id = self._listed.get(listed_id)
         entry = self._entries.get(instance_id)
@@ -209,11 +222,12 @@
                 "target lapsed in an outage and is kept",
                 target=instance_id,
                 kept_s=round(self._grace.left_s(), 3),
+                told_by=told_by,
             )
             return
-        self._remove(entry)
+        self._remove(entry, told_by)
 
-    def replace(self, entries, is_sure=False):
+    def replace(self, entries, is_sure=False, told_by=SOURCE):
         """Take the whole list: what is not in it has vanished.
 
         Parameters
@@ -223,18 +237,27 @@
         is_sure : bool
             Whether it comes from a peer that has seen the source itself, so that an
             outage of this process's own path to it does not matter.
+        told_by : str
+            Who told the list, for the log.
         """
         present = set()
+        left_ids = []
         for entry in entries:
             present.add(entry.instance_id)
-            self.put(entry)
+            if entry.instance_id in self._departures and not entry.is_leaving:
+                left_ids.append(entry.instance_id)
+            self.put(entry, told_by)
+        if left_ids:
+            _logger.event(
+                "listed targets have left", targets=sorted(left_ids), told_by=told_by
+            )
         for entry in self.entries():
             if entry.instance_id in present:
                 continue
             if is_sure:
-                self._remove(entry)
+                self._remove(entry, told_by)
             else:
-                self.vanish(entry.listed_id)
+                self.vanish(entry.listed_id, told_by)
         self._has_first = True
 
     def without_gone(self, entries, kept_ids):
@@ -322,7 +345,7 @@
         if not self._lapsed or not self._grace.passed():
             return
         for instance_id in list(self._lapsed):
-            self._remove(self._entries[instance_id])
+            self._remove(self._entries[instance_id], GRACE)
 
     def serving(self, service_name):
         """Return the targets of a service that may get requests."""
@@ -368,16 +391,16 @@
                 "target started anew", target=entry.instance_id, earlier=earlier_id
             )
             self._replaced.add(earlier_id)
-            self._remove(self._entries[earlier_id])
+            self._remove(self._entries[earlier_id], SOURCE)
 
-    def _remove(self, entry):
+    def _remove(self, entry, told_by):
         del self._entries[entry.instance_id]
         self._listed.pop(entry.listed_id, None)
         self._lapsed.discard(entry.instance_id)
         self._gone[entry.instance_id] = None
         while len(self._gone) > GONE_LIMIT:
             self._gone.popitem(last=False)
-        _logger.event("target gone", target=entry.instance_id, told_by="list")
+        _logger.event("target gone", target=entry.instance_id, told_by=told_by)
         if not entry.is_leaving:
             self._tell(entry)
 
