Hand out only targets that the last reading of the list holds

Cause: the records that a reader hands out were kept by key and taken off only by a record that drops the key. A reader whose position the store had dropped reads the list anew, and what that answer lacked stayed among the records and was handed out as being of the new position. Hosts that took the list from it, and handed it on, brought it back to hosts that had dropped the target, its reader among them.

Change: entries carry the record they were read from; the source holds the entries of its last reading, and begins them anew with each whole list.

--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -42,6 +42,11 @@
         For how long it was still cold after its start when it reported, seconds.
     report_number : int
         Rises with each report of one start.
+
+    Attributes
+    ----------
+    record : object or None
+        The same as its source holds it, for whoever asks this host.
     """
 
     __slots__ = (
@@ -52,6 +57,7 @@
         "is_leaving",
         "listed_id",
         "port",
+        "record",
         "report_number",
         "service_name",
         "slot_count",
@@ -80,6 +86,7 @@
         self.listed_id = instance_id if listed_id is None else listed_id
         self.cold_left_s = cold_left_s
         self.report_number = report_number
+        self.record = None
 
 
 class TargetList:
--- a/siskinthread/gateway/_told.py
+++ b/siskinthread/gateway/_told.py
@@ -42,14 +42,11 @@
         Time since that read began, seconds.
     entries : list of TargetEntry
         The whole list there.
-    records : list of object
-        The same as the source holds it, for whoever asks this host.
     """
 
-    __slots__ = ("age_s", "entries", "position", "records")
+    __slots__ = ("age_s", "entries", "position")
 
-    def __init__(self, position, age_s, entries, records):
+    def __init__(self, position, age_s, entries):
         self.position = position
         self.age_s = age_s
         self.entries = entries
-        self.records = records
--- a/siskinthread/gateway/tests/test_far_listing.py
+++ b/siskinthread/gateway/tests/test_far_listing.py
@@ -133,7 +133,7 @@
             asked.append(address)
             if not is_handed_out:
                 raise PlatformUnavailableError("busy")
-            return ToldTargets(position, 0.1, [entry("i-2")], [])
+            return ToldTargets(position, 0.1, [entry("i-2")])
 
         following.follower.fetch_told = fetch
         following.source.take_told = lambda told: None
--- a/siskinthread/gateway/tests/test_told_targets.py
+++ b/siskinthread/gateway/tests/test_told_targets.py
@@ -23,7 +23,6 @@
             behind(following.source.position, 1),
             0.1,
             [entry("i-1", is_leaving=True), entry("i-2")],
-            [],
         )
 
     async def fetch(self, address):
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -175,7 +175,6 @@
         believed = self._gateway.parts.targets
         return snapshot_page(
             self._tables,
-            self._targets,
             believed.entries(),
             believed.kept_ids(),
             self._gateway.parts.evacuations.statement(),
--- a/siskinthread/platform/_hand_out.py
+++ b/siskinthread/platform/_hand_out.py
@@ -75,7 +75,7 @@
     tables : PublishedTables
         Source of the newest configuration.
     targets : ListedTargets
-        Source of the newest records of targets.
+        Source of the list of targets.
     gateway : siskinthread.gateway.Gateway
         Tells up to where the sources were read, and the version in force.
     rate_bytes_s : int
@@ -123,7 +123,8 @@
         if statement is None:
             return StatusPage(STATUS_UNAVAILABLE, b"no list to hand out\n")
         records = {
-            key: record.value.decode() for key, record in self._targets.newest.items()
+            key: entry.record.value.decode()
+            for key, entry in self._targets.listed.items()
         }
         position = statement.position
         return self._rate.page(
@@ -199,9 +200,9 @@
     except UNREADABLE as error:
         text = f"unreadable target list of a peer: {error!r}"
         raise PlatformUnavailableError(text) from error
-    changes = ListedTargets(None).take(records)
-    entries = [change.entry for change in changes if change.entry is not None]
-    return ToldTargets(position, age_s, entries, records)
+    listing = ListedTargets(None)
+    listing.take(records)
+    return ToldTargets(position, age_s, list(listing.listed.values()))
 
 
 def _read_position(document):
--- a/siskinthread/platform/_snapshots.py
+++ b/siskinthread/platform/_snapshots.py
@@ -20,15 +20,13 @@
 SNAPSHOT_PATH = "/snapshot"
 
 
-def snapshot_page(tables, targets, entries, kept_ids, evacuations=None):
+def snapshot_page(tables, entries, kept_ids, evacuations=None):
     """Return the `StatusPage` of what this process knows.
 
     Parameters
     ----------
     tables : PublishedTables
         Source of the newest configuration.
-    targets : ListedTargets
-        Source of the newest records of targets.
     entries : list of siskinthread.gateway.TargetEntry
         Targets as this process believes them to be.  The record of one that leaves may
         be of before, from an older copy; so it is left out.
@@ -37,15 +35,11 @@
     evacuations : siskinthread.peer_news.EvacuationStatement or None
         Failure domains that are evacuated, as far as this process knows.
     """
-    serving_ids = {entry.listed_id for entry in entries if not entry.is_leaving}
+    serving = {one.listed_id: one for one in entries if not one.is_leaving}
     document = {
         "config": None if tables.newest is None else tables.newest.value.decode(),
-        "servers": {
-            key: record.value.decode()
-            for key, record in targets.newest.items()
-            if key in serving_ids
-        },
-        "kept": sorted(kept_ids & serving_ids),
+        "servers": {key: entry.record.value.decode() for key, entry in serving.items()},
+        "kept": sorted(kept_ids & serving.keys()),
     }
     if evacuations is not None:
         document["evacuations"] = evacuations.as_document()
@@ -79,10 +73,10 @@
     tables = PublishedTables(None).take(
         [KeyedRecord(CONFIGURATION_KEY, value) for value in published]
     )
-    changes = ListedTargets(None).take(records)
-    entries = [change.entry for change in changes if change.entry is not None]
+    listing = ListedTargets(None)
+    listing.take(records)
     table = tables[0] if tables else None
-    return Snapshot(table, entries, kept_ids, evacuations)
+    return Snapshot(table, list(listing.listed.values()), kept_ids, evacuations)
 
 
 def _read_evacuations(document):
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -98,8 +98,10 @@
 
     Attributes
     ----------
-    newest : dict of str to KeyedRecord
-        The newest record of each target.
+    listed : dict of str to siskinthread.gateway.TargetEntry
+        The targets at the position that was read last, by the id that they are listed
+        under.  They are handed out as being of that position, so that nothing of an
+        earlier reading may be left among them.
 
     Notes
     -----
@@ -107,20 +109,20 @@
     whoever reads the list anew does not see the target either.
     """
 
-    __slots__ = ("_refused", "_store", "newest")
+    __slots__ = ("_refused", "_store", "listed")
 
     def __init__(self, store):
         self._store = store
-        self.newest = {}
+        self.listed = {}
         # Why records can't be read, by key; each reason is logged once.
         self._refused = {}
 
     async def read_all(self):
         """Return every `TargetEntry` and a position."""
         records, position = await self._store.read_newest(TARGETS_TOPIC)
-        changes = self.take(records)
-        entries = [change.entry for change in changes if change.entry is not None]
-        return entries, position
+        self.listed = {}
+        self.take(records)
+        return list(self.listed.values()), position
 
     async def read_changes(self, position):
         """Return each `TargetChange` behind a position, and the next position."""
@@ -129,7 +131,7 @@
 
     def take_told(self, told):
         """Take the `siskinthread.gateway.ToldTargets` of a peer as if it was read."""
-        self.newest = {record.key: record for record in told.records}
+        self.listed = {entry.listed_id: entry for entry in told.entries}
 
     def take(self, records):
         """Return each `TargetChange` of some records."""
@@ -146,9 +148,10 @@
             else:
                 self._refused.pop(record.key, None)
         if entry is None:
-            self.newest.pop(record.key, None)
+            self.listed.pop(record.key, None)
         else:
-            self.newest[record.key] = record
+            entry.record = record
+            self.listed[record.key] = entry
         return entry
 
     def _note_refused(self, key, reason):
--- a/siskinthread/platform/tests/domains_fleet.py
+++ b/siskinthread/platform/tests/domains_fleet.py
@@ -188,7 +188,6 @@
         def build_snapshot():
             return snapshot_page(
                 tables,
-                targets,
                 believed.entries(),
                 believed.kept_ids(),
                 self.gateway.parts.evacuations.statement(),
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -262,7 +262,6 @@
         believed = self.gateway.parts.targets
         return snapshot_page(
             self.tables,
-            self.targets,
             believed.entries(),
             believed.kept_ids(),
             self.gateway.parts.evacuations.statement(),
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -289,7 +289,7 @@
     records = [KeyedRecord("i-2", nested), KeyedRecord("x", b"\xff\x00")]
     changes = {one.listed_id: one.entry for one in source.take(records)}
     assert changes == {"i-2": None, "x": None}
-    assert list(source.newest) == ["i-1"]
+    assert list(source.listed) == ["i-1"]
 
 
 ENGINE = {
--- a/siskinthread/platform/tests/test_hand_out.py
+++ b/siskinthread/platform/tests/test_hand_out.py
@@ -98,7 +98,27 @@
     assert [one.listed_id for one in told.entries] == ["i-1"]
     own = ListedTargets(None)
     own.take_told(told)
-    assert own.newest["i-1"].value == parts.targets.newest["i-1"].value
+    record = parts.targets.listed["i-1"].record
+    assert own.listed["i-1"].record.value == record.value
+
+
+def test_target_of_an_earlier_reading_is_not_handed_out(monkeypatch):
+    """A list that was read anew was handed out with targets that had left before."""
+    parts = Parts()
+    value = json.dumps(SERVER).encode()
+    newest = [[KeyedRecord("i-1", value), KeyedRecord("i-2", value)]]
+
+    class Store:
+        async def read_newest(self, topic):
+            return newest[-1], Position(1, 30)
+
+    parts.targets._store = Store()
+    curio.run(parts.targets.read_all)
+    newest.append([KeyedRecord("i-2", value)])
+    curio.run(parts.targets.read_all)
+    page = parts.hand_out.targets_page()
+    told = fetch(monkeypatch, fetch_told_targets, json.loads(page.body))
+    assert [one.listed_id for one in told.entries] == ["i-2"]
 
 
 def test_nothing_is_handed_out_that_was_not_read_up_to_the_position():
--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -43,7 +43,7 @@
     tables.take([record("config", document)])
     changes = targets.take([record(key, value) for key, value in entries.items()])
     believed = [change.entry for change in changes]
-    return snapshot_page(tables, targets, believed, set(kept_ids))
+    return snapshot_page(tables, believed, set(kept_ids))
 
 
 def record(key, value):
--- a/siskinthread/platform/tests/test_rejected_hosts.py
+++ b/siskinthread/platform/tests/test_rejected_hosts.py
@@ -63,7 +63,6 @@
         targets = parts.targets
         return snapshot_page(
             entry.tables,
-            entry.targets,
             targets.entries(),
             targets.kept_ids(),
             parts.evacuations.statement(),
--- a/siskinthread/platform/tests/test_restored_store.py
+++ b/siskinthread/platform/tests/test_restored_store.py
@@ -51,9 +51,10 @@
 
 def knows_all_of(system, records):
     """Return whether the newest of some records of servers has been read."""
-    newest = system.targets.newest
+    known = system.targets.listed
     return all(
-        key in newest and b'"sequence": %d' % value["sequence"] in newest[key].value
+        key in known
+        and b'"sequence": %d' % value["sequence"] in known[key].record.value
         for topic, key, value in records[-1:]
     )
 
@@ -276,7 +277,7 @@
         await until(lambda: len(targets.serving("app")) == 1)
         system.store.restore()
         await until(
-            lambda: b"ready" in system.targets.newest[leaving.instance_id].value
+            lambda: b"ready" in system.targets.listed[leaving.instance_id].record.value
         )
         return list(json.loads(system.snapshot_page().body)["servers"])
 
