End the grace of vanished targets by time, and prolong it by outages only

Callers saw requests at servers that had left, from hosts that had been cut off.

Cause: targets that vanish around an outage of the list were kept until somebody asked for the targets of their service. A host without such requests kept them, answered that they serve, and handed them to peers as its own list. Each call that failed began the grace of all of them anew, also single calls that the store turned away. And the grace ran from the first answer after a cut, up to 1.3 s after its end, so that it could outlast the 3 s after which the host counts as in touch.

Change: kept targets have a deadline each (KeptTargets) that every look at the list goes by. An outage that ends prolongs it by twice its length, to one whole grace at most. The grace ends 2.8 s after the last call without an answer began, and lasts 1.6 s at least.

--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -186,6 +186,20 @@
         description="How long entries that lapse around an outage of the target list "
         "are kept after it. Living targets are listed again within about 2 s.",
     )
+    lapse_limit_s = Item(
+        float,
+        default=2.8,
+        minimum=0.0,
+        description="How long such entries are kept at most since the last call that "
+        "the source did not answer began. A host that was cut off must not use a "
+        "target that has left from 3 s after the cut on.",
+    )
+    lapse_least_s = Item(
+        float,
+        default=1.6,
+        minimum=0.0,
+        description="How long they are kept at least, though that call was long ago.",
+    )
     evacuation_kept_s = Item(
         float,
         default=30.0,
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -123,7 +123,7 @@
                 await self._read()
             except PlatformUnavailableError as error:
                 self.dependency.failed(error)
-                self._targets.note_outage()
+                self._targets.note_failed_call(began_at_s)
                 is_first = self.peers is None or self.peers.is_first_of_domain()
                 wait_s = self.dependency.retry_wait_s(self._settings, is_first)
                 await curio.sleep(wait_s)
@@ -136,7 +136,7 @@
             if self.dependency.is_lost:
                 await self._when_regained()
             self.dependency.answered()
-            self._targets.expire_lapsed()
+            self._targets.expire_kept()
             await self._note_read(began_at_s)
 
     def statement(self):
@@ -343,10 +343,7 @@
                 self._targets.put(change.entry)
 
     def _note_end_of_outage(self):
-        """Keep entries that lapsed in an outage for the whole time after its end.
-
-        Between two tries it may have gone on for longer than they are kept.
-        """
+        """Keep entries that lapsed in an outage for a while after its end."""
         if self.dependency.is_lost:
             self._targets.note_outage()
 
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -3,8 +3,8 @@
 from collections import OrderedDict
 
 from siskinthread.gateway._departures import Departures
+from siskinthread.gateway._kept_targets import KeptTargets
 from siskinthread.observability import part_logger
-from siskinthread.timing import Deadline
 
 # Targets that are gone and still remembered: all of a fleet of 600 that is replaced
 # within minutes.
@@ -106,10 +106,7 @@
 
     Notes
     -----
-    While the list's source is away, its entries lapse although the targets live.
-    Taken at its word on its return it would empty every service at once; one would
-    notice refusals for want of a target until the targets have reported again.  So
-    entries that vanish around an outage are kept for ``lapse_grace_s`` after it.
+    Entries that vanish around an outage are kept for a while; see `KeptTargets`.
     """
 
     __slots__ = (
@@ -118,9 +115,8 @@
         "_departures",
         "_entries",
         "_gone",
-        "_grace",
         "_has_first",
-        "_lapsed",
+        "_kept",
         "_listed",
         "_listeners",
         "_put_listeners",
@@ -135,8 +131,8 @@
         self._entries = {}
         # The instance that each listed id stands for.
         self._listed = {}
-        # Ids of entries that vanished, and still count until the grace ends.
-        self._lapsed = set()
+        # Those that vanished, and still count.
+        self._kept = KeptTargets(settings, clock)
         self._departures = Departures(settings, clock)
         # Instances whose targets have started anew; a late report of an earlier start
         # must not displace the later one.
@@ -144,7 +140,6 @@
         # Instances that were dropped from the list, the latest last; an older copy of
         # the list must not bring them back.
         self._gone = OrderedDict()
-        self._grace = Deadline.after(clock, 0.0)
         self._confirmed_at_s = None
         self._listeners = []
         self._put_listeners = []
@@ -175,9 +170,13 @@
             return None
         return self._clock.monotonic_s() - self._confirmed_at_s
 
+    def note_failed_call(self, began_at_s):
+        """Note that the source of the entries has not answered a call."""
+        self._kept.note_failed_call(began_at_s)
+
     def note_outage(self):
-        """Note that the source of the entries is away at this moment."""
-        self._grace = Deadline.after(self._clock, self._settings.lapse_grace_s)
+        """Note that an outage of the source of the entries ends at this moment."""
+        self._kept.note_outage()
 
     def put(self, entry, told_by=SOURCE):
         """Take an entry in, or its newer state.
@@ -193,7 +192,7 @@
             return
         self._note_restart(entry)
         known = self._entries.get(entry.instance_id)
-        self._lapsed.discard(entry.instance_id)
+        self._kept.discard(entry.instance_id)
         if entry.instance_id in self._departures:
             return
         if entry.is_leaving:
@@ -221,14 +220,14 @@
         """Note that an entry is not listed any more."""
         instance_id = self._listed.get(listed_id)
         entry = self._entries.get(instance_id)
-        if entry is None or instance_id in self._lapsed:
+        if entry is None or instance_id in self._kept:
             return
-        if not entry.is_leaving and not self._grace.passed():
-            self._lapsed.add(instance_id)
+        if not entry.is_leaving and self._kept.covers():
+            self._kept.keep(instance_id)
             _logger.event(
                 "target lapsed in an outage and is kept",
                 target=instance_id,
-                kept_s=round(self._grace.left_s(), 3),
+                kept_s=round(self._kept.left_s(instance_id), 3),
                 told_by=told_by,
             )
             return
@@ -258,7 +257,7 @@
             _logger.event(
                 "listed targets have left", targets=sorted(left_ids), told_by=told_by
             )
-        for entry in self.entries():
+        for entry in list(self._entries.values()):
             if entry.instance_id in present:
                 continue
             if is_sure:
@@ -290,7 +289,8 @@
 
     def kept_ids(self):
         """Return the listed ids of targets that vanished and are kept for a while."""
-        return {self._entries[one].listed_id for one in self._lapsed}
+        self.expire_kept()
+        return {self._entries[one].listed_id for one in self._kept.ids()}
 
     def replace_by_older(self, entries):
         """Take a list whose source has come back older than it was.
@@ -347,11 +347,9 @@
         """Return what peers should be told, a list of `LeavingStatement`."""
         return self._departures.statements()
 
-    def expire_lapsed(self):
-        """Remove lapsed entries that did not come back in time."""
-        if not self._lapsed or not self._grace.passed():
-            return
-        for instance_id in list(self._lapsed):
+    def expire_kept(self):
+        """Remove kept entries that did not come back in time."""
+        for instance_id in self._kept.over():
             self._remove(self._entries[instance_id], GRACE)
 
     def serving(self, service_name):
@@ -375,15 +373,17 @@
 
     def is_serving(self, instance_id):
         """Return whether a target is listed and has not said that it leaves."""
+        self.expire_kept()
         entry = self._entries.get(instance_id)
         return entry is not None and not entry.is_leaving
 
     def entries(self):
         """Return all entries."""
+        self.expire_kept()
         return list(self._entries.values())
 
     def _not_leaving(self, service_name):
-        self.expire_lapsed()
+        self.expire_kept()
         return [
             entry
             for entry in self._entries.values()
@@ -403,7 +403,7 @@
     def _remove(self, entry, told_by):
         del self._entries[entry.instance_id]
         self._listed.pop(entry.listed_id, None)
-        self._lapsed.discard(entry.instance_id)
+        self._kept.discard(entry.instance_id)
         self._gone[entry.instance_id] = None
         while len(self._gone) > GONE_LIMIT:
             self._gone.popitem(last=False)
--- /dev/null
+++ b/siskinthread/gateway/tests/test_kept_targets.py
@@ -0,0 +1,83 @@
+"""Until when targets are kept that vanished around an outage of the list."""
+
+import pytest
+
+from siskinthread.gateway._target_list import TargetList
+from siskinthread.gateway.tests.parts import clock, entry, ids, SETTINGS
+
+GRACE_S = SETTINGS.lapse_grace_s
+STEP_S = 0.1
+
+
+def build():
+    """Return a list with a target that vanished after an outage, and its clock."""
+    now = clock()
+    targets = TargetList(SETTINGS, now)
+    targets.replace([entry("i-1")])
+    targets.note_outage()
+    targets.vanish("i-1")
+    return targets, now
+
+
+@pytest.mark.parametrize(
+    "known",
+    [
+        lambda targets: targets.is_serving("i-1"),
+        lambda targets: targets.entries(),
+        lambda targets: targets.kept_ids(),
+    ],
+)
+def test_time_alone_ends_the_grace(known):
+    """A host without requests for a service kept its targets, and told others so."""
+    targets, now = build()
+    now.advance(GRACE_S - STEP_S)
+    assert known(targets)
+    now.advance(STEP_S)
+    assert not known(targets)
+
+
+@pytest.mark.parametrize(
+    ("answered_s", "away_s", "limit_s"),
+    # Single calls that the source turned away; then outages that end the grace anew.
+    [(1.0, 0.3, 10.0), (0.6, 0.1, 10.0), (1.0, 3.0, None)],
+)
+def test_only_outages_prolong_the_grace(answered_s, away_s, limit_s):
+    """Each failed call began the grace anew, so that it never ended."""
+    targets, now = build()
+    kept_s = 0.0
+    while ids(targets.serving("app")) and kept_s < 60.0:
+        now.advance(answered_s)
+        targets.note_failed_call(now.monotonic_s())
+        now.advance(away_s)
+        targets.note_outage()
+        kept_s += answered_s + away_s
+    assert kept_s < limit_s if limit_s else kept_s >= 60.0
+
+
+def test_targets_are_kept_while_the_source_is_away():
+    """Living targets were dropped in the midst of an outage that followed another."""
+    targets, now = build()
+    targets.note_failed_call(now.monotonic_s())
+    now.advance(10 * GRACE_S)
+    assert ids(targets.serving("app")) == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    ("since_call_s", "kept_s"),
+    [(0.0, SETTINGS.lapse_grace_s), (1.0, 1.8), (5.0, SETTINGS.lapse_least_s)],
+)
+def test_grace_ends_before_a_host_back_from_a_cut_counts_as_in_touch(
+    since_call_s, kept_s
+):
+    """A target that had left got requests from 3 s after a cut on."""
+    now = clock()
+    targets = TargetList(SETTINGS, now)
+    targets.replace([entry("i-1")])
+    targets.note_failed_call(now.monotonic_s())
+    now.advance(since_call_s)
+    targets.note_outage()
+    targets.vanish("i-1")
+    now.advance(kept_s - STEP_S)
+    assert targets.is_serving("i-1")
+    now.advance(STEP_S)
+    assert not targets.is_serving("i-1")
