Date lists that peers hand on, and don't take older ones

Callers saw requests at servers that had left, from hosts that had dropped them.

It counted as of the moment it came, also from a peer that had been cut off itself and had not noticed; a target that the peer kept by grace began a whole grace of its own at each host that did not know it as gone, unmarked from then on; and what a host had taken from peers stayed for good if its own source had never listed it, as no record tells of its end.

A host takes no list that is behind the furthest it has gone by, keeps told targets for no longer than the peer, or than itself had left, and after its own reading reached that position goes by its source alone. What a peer's word has dropped may come back by the source's list; what the source dropped must report again.

Two new cases of test_outages and two of test_kept_targets fail without the change by what they name.

--- a/siskinthread/gateway/_snapshots.py
+++ b/siskinthread/gateway/_snapshots.py
@@ -18,19 +18,23 @@
         The peer's routes.
     entries : list of TargetEntry
         The peer's targets.
-    kept_ids : set of str
+    kept_left_s : dict of str to float
         Listed ids of those that the peer only keeps for a while, since they vanished
-        around an outage.
+        around an outage, and for how long, seconds.
+    listing : siskinthread.peer_news.ListStatement or None
+        Up to where the peer has read the list, and the age of that reading; None if it
+        knows the list by hearsay.
     evacuations : siskinthread.peer_news.EvacuationStatement or None
         Failure domains that the peer knows to be evacuated.
     """
 
-    __slots__ = ("entries", "evacuations", "kept_ids", "table")
+    __slots__ = ("entries", "evacuations", "kept_left_s", "listing", "table")
 
-    def __init__(self, table, entries, kept_ids=frozenset(), evacuations=None):
+    def __init__(self, table, entries, kept_left_s, listing=None, evacuations=None):
         self.table = table
         self.evacuations = evacuations
-        self.kept_ids = kept_ids
+        self.kept_left_s = kept_left_s
+        self.listing = listing
         self.entries = entries
 
 
@@ -47,11 +51,11 @@
     view : TableView
         Where tables come into force.
     targets : TargetList
-        Where targets are noted.
+        Tells whether any target is known.
     table_follower : TableFollower
         Told to read again if a peer has a newer table.
     target_follower : TargetFollower
-        Tells whether its source answers.
+        Takes the targets, and tells whether its source answers.
     settings : GatewaySettings
         Times.
     clock : siskinthread.timing.Clock
@@ -193,7 +197,7 @@
             told = (state.table_version, state.listing.digest)
         if told is not None and told == self._taken and not self._knows_nothing():
             self.dependency.answered()
-            self._targets.note_confirmed()
+            self._targets.note_confirmed(state.listing.age_s)
             return
         if await self._take_from(address, is_informed=True):
             self._taken = told
@@ -202,7 +206,7 @@
         return self._view.table is None or not self._targets.entries()
 
     async def _take_from(self, address, is_informed, with_targets=True):
-        """Take a peer's snapshot; return whether it came."""
+        """Take a peer's snapshot; return whether it came and was of use."""
         try:
             snapshot = await self._fetch(address)
         except PlatformUnavailableError as error:
@@ -220,9 +224,5 @@
                 told_by=str(address),
             )
         if with_targets:
-            entries = self._targets.without_gone(snapshot.entries, snapshot.kept_ids)
-            told_by = f"snapshot of {address}"
-            self._targets.replace(entries, is_sure=is_informed, told_by=told_by)
-            if is_informed:
-                self._targets.note_confirmed()
+            return self._target_follower.take_snapshot(snapshot, is_informed, address)
         return True
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -37,7 +37,8 @@
         ``async read_all()`` returns the list of `TargetEntry` and a position; ``async
         read_changes(position)`` the list of `TargetChange` and the next position.
         Both raise like the source of a `TableFollower`.  ``take_told(told)`` takes a
-        `ToldTargets`, as if it had been read.
+        `ToldTargets`, as if it had been read.  ``listed`` maps listed ids to the
+        entries at the last position.
     targets : TargetList
         Where they are noted.
     settings : GatewaySettings
@@ -68,6 +69,7 @@
         "_confirmed_at_s",
         "_digest",
         "_eras",
+        "_furthest",
         "_heard",
         "_is_restored",
         "_next_read",
@@ -76,6 +78,7 @@
         "_settings",
         "_source",
         "_targets",
+        "_took_snapshot",
         "_wanted",
         "_wanted_from",
         "_when_regained",
@@ -94,6 +97,10 @@
         self._settings = settings
         self._clock = clock
         self._position = None
+        # The furthest position of a list that this host has gone by.
+        self._furthest = None
+        # Whether a peer's list was taken since the last own read.
+        self._took_snapshot = False
         # Whether the source came back older since the last read.
         self._is_restored = False
         self._digest = ListDigest()
@@ -190,7 +197,7 @@
             return False
         if statement.digest == self._digest.value:
             if self._position.is_behind(statement.position):
-                self._position = statement.position
+                self._position = self._furthest = statement.position
             self._targets.note_confirmed(statement.age_s)
             left_s = self._age_limit_s() - statement.age_s
             if left_s > self._next_read.left_s():
@@ -202,6 +209,49 @@
             await self._heard.set()
         return False
 
+    def take_snapshot(self, snapshot, is_informed, teller):
+        """Take a peer's targets while the source does not answer this host.
+
+        Parameters
+        ----------
+        snapshot : Snapshot
+            What the peer knows.
+        is_informed : bool
+            Whether the source answers the peer.
+        teller : siskinthread.settings.Address
+            The peer.
+
+        Returns
+        -------
+        bool
+            Whether they were of use: a list that is older than this host's would bring
+            back targets that have left.
+        """
+        if self.dependency.age_s() is not None and not self.dependency.is_lost:
+            return True
+        listing = snapshot.listing
+        if is_informed and not self._is_new(listing):
+            _logger.event("peer's target list is older", peer=str(teller))
+            return False
+        kept_left_s = snapshot.kept_left_s
+        entries = self._targets.without_gone(snapshot.entries, kept_left_s)
+        told_by = f"snapshot of {teller}"
+        self._targets.replace(entries, is_informed, told_by, kept_left_s)
+        self._took_snapshot = True
+        if listing is not None:
+            self._furthest = listing.position
+            self._targets.note_confirmed(listing.age_s)
+        return True
+
+    def _is_new(self, listing):
+        """Return whether a peer's `ListStatement` is not behind what this host knew."""
+        if listing is None:
+            return self._furthest is None
+        if self._eras.is_over(listing.position.era):
+            return False
+        furthest = self._furthest
+        return furthest is None or not listing.position.is_behind(furthest)
+
     async def _take_from_reader(self):
         """Take what a peer has told of from the reader; return whether that worked."""
         wanted, self._wanted = self._wanted, None
@@ -244,7 +294,7 @@
         return None
 
     def _take_told(self, told, age_s, teller):
-        self._position = told.position
+        self._position = self._furthest = told.position
         self._digest.replace(told.entries)
         self._source.take_told(told)
         self._targets.replace(told.entries, told_by=f"reader {teller}")
@@ -325,6 +375,7 @@
         if self._position is None:
             entries, self._position = await self._source.read_all()
             self._note_end_of_outage()
+            self._note_own_reading()
             self._digest.replace(entries)
             if self._is_restored:
                 self._is_restored = False
@@ -341,6 +392,17 @@
             else:
                 self._digest.put(change.entry)
                 self._targets.put(change.entry)
+        if self._note_own_reading():
+            self._targets.reconcile(self._source.listed.values())
+
+    def _note_own_reading(self):
+        """Note an own reading; return whether it is the first after lists of peers."""
+        if self._furthest is not None and self._position.is_behind(self._furthest):
+            # Peers know more than the source has told this host so far.
+            return False
+        self._furthest = self._position
+        is_first, self._took_snapshot = self._took_snapshot, False
+        return is_first
 
     def _note_end_of_outage(self):
         """Keep entries that lapsed in an outage for a while after its end."""
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -137,8 +137,8 @@
         # Instances whose targets have started anew; a late report of an earlier start
         # must not displace the later one.
         self._replaced = set()
-        # Instances that were dropped from the list, the latest last; an older copy of
-        # the list must not bring them back.
+        # Instances that were dropped from the list, the latest last, and whether by a
+        # peer's word; an older copy of the list must not bring them back.
         self._gone = OrderedDict()
         self._confirmed_at_s = None
         self._listeners = []
@@ -188,11 +188,14 @@
         told_by : str
             Who told of it, for the log.
         """
+        self._kept.discard(entry.instance_id)
+        self._take(entry, told_by)
+
+    def _take(self, entry, told_by):
         if entry.instance_id in self._replaced:
             return
         self._note_restart(entry)
         known = self._entries.get(entry.instance_id)
-        self._kept.discard(entry.instance_id)
         if entry.instance_id in self._departures:
             return
         if entry.is_leaving:
@@ -233,7 +236,7 @@
             return
         self._remove(entry, told_by)
 
-    def replace(self, entries, is_sure=False, told_by=SOURCE):
+    def replace(self, entries, is_sure=False, told_by=SOURCE, kept_left_s=None):
         """Take the whole list: what is not in it has vanished.
 
         Parameters
@@ -245,14 +248,22 @@
             outage of this process's own path to it does not matter.
         told_by : str
             Who told the list, for the log.
+        kept_left_s : dict of str to float or None
+            Listed ids of those that have vanished from the teller's list, and for how
+            long it keeps them still, seconds.
         """
+        kept_left_s = {} if kept_left_s is None else kept_left_s
         present = set()
         left_ids = []
         for entry in entries:
             present.add(entry.instance_id)
             if entry.instance_id in self._departures and not entry.is_leaving:
                 left_ids.append(entry.instance_id)
-            self.put(entry, told_by)
+            if entry.listed_id in kept_left_s:
+                self._kept.keep_as_told(entry.instance_id, kept_left_s[entry.listed_id])
+                self._take(entry, told_by)
+            else:
+                self.put(entry, told_by)
         if left_ids:
             _logger.event(
                 "listed targets have left", targets=sorted(left_ids), told_by=told_by
@@ -261,7 +272,7 @@
             if entry.instance_id in present:
                 continue
             if is_sure:
-                self._remove(entry, told_by)
+                self._remove(entry, told_by, by_peer=True)
             else:
                 self.vanish(entry.listed_id, told_by)
         self._has_first = True
@@ -273,7 +284,7 @@
         ----------
         entries : list of TargetEntry
             The peer's targets.
-        kept_ids : set of str
+        kept_ids : collection of str
             Listed ids of those that the peer keeps only because they vanished around
             an outage; it can't tell which of them have left.
         """
@@ -289,8 +300,32 @@
 
     def kept_ids(self):
         """Return the listed ids of targets that vanished and are kept for a while."""
+        return set(self.kept_left_s())
+
+    def kept_left_s(self):
+        """Return for how long targets that vanished are kept, by listed id, seconds."""
         self.expire_kept()
-        return {self._entries[one].listed_id for one in self._kept.ids()}
+        return {
+            self._entries[one].listed_id: self._kept.left_s(one)
+            for one in self._kept.ids()
+        }
+
+    def reconcile(self, entries):
+        """Go by the own source again after lists of peers have been taken.
+
+        Parameters
+        ----------
+        entries : iterable of TargetEntry
+            All that the source lists at the position that was read last.
+        """
+        listed = {entry.instance_id: entry for entry in entries}
+        for entry in list(self._entries.values()):
+            if entry.instance_id not in listed:
+                self.vanish(entry.listed_id)
+        for instance_id, entry in listed.items():
+            # What this host itself has seen dropped must report again.
+            if instance_id not in self._entries and self._gone.get(instance_id, True):
+                self.put(entry)
 
     def replace_by_older(self, entries):
         """Take a list whose source has come back older than it was.
@@ -400,11 +435,11 @@
             self._replaced.add(earlier_id)
             self._remove(self._entries[earlier_id], SOURCE)
 
-    def _remove(self, entry, told_by):
+    def _remove(self, entry, told_by, by_peer=False):
         del self._entries[entry.instance_id]
         self._listed.pop(entry.listed_id, None)
         self._kept.discard(entry.instance_id)
-        self._gone[entry.instance_id] = None
+        self._gone[entry.instance_id] = by_peer
         while len(self._gone) > GONE_LIMIT:
             self._gone.popitem(last=False)
         _logger.event("target gone", target=entry.instance_id, told_by=told_by)
--- a/siskinthread/gateway/tests/test_kept_targets.py
+++ b/siskinthread/gateway/tests/test_kept_targets.py
@@ -81,3 +81,24 @@
     assert targets.is_serving("i-1")
     now.advance(STEP_S)
     assert not targets.is_serving("i-1")
+
+
+@pytest.mark.parametrize(("told_s", "own_s"), [(0.5, None), (GRACE_S, 0.5)])
+def test_kept_target_of_a_peer_is_kept_for_no_longer(told_s, own_s):
+    """A kept target was handed on as listed, with a whole grace for each host."""
+    now = clock()
+    targets = TargetList(SETTINGS, now)
+    targets.replace([entry("i-1")])
+    if own_s is not None:
+        targets.note_outage()
+        targets.vanish("i-1")
+        now.advance(GRACE_S - own_s)
+    targets.note_failed_call(now.monotonic_s())
+    targets.replace([entry("i-1")], True, "a peer", {"i-1": told_s})
+    now.advance(0.4)
+    assert targets.is_serving("i-1")
+    assert targets.kept_left_s()["i-1"] < 0.2
+    now.advance(0.2)
+    assert not targets.is_serving("i-1")
+    targets.replace(targets.without_gone([entry("i-1")], {"i-1"}), True, "a peer")
+    assert not targets.is_serving("i-1")
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -26,7 +26,7 @@
 from siskinthread.platform._rank_places import RANK_PLACES_PATH
 from siskinthread.platform._snapshots import (
     fetch_snapshot,
-    snapshot_page,
+    host_snapshot_page,
     SNAPSHOT_PATH,
 )
 from siskinthread.platform._sources import ListedTargets, PublishedTables
@@ -172,13 +172,7 @@
         await self._gateway.serve_pages(_listen(self._settings.peer_address), pages)
 
     def _snapshot_page(self):
-        believed = self._gateway.parts.targets
-        return snapshot_page(
-            self._tables,
-            believed.entries(),
-            believed.kept_ids(),
-            self._gateway.parts.evacuations.statement(),
-        )
+        return host_snapshot_page(self._tables, self._gateway)
 
     async def _fetch_snapshot(self, address):
         return await fetch_snapshot(address, PEER_ANSWER_WAIT_S)
--- a/siskinthread/platform/_snapshots.py
+++ b/siskinthread/platform/_snapshots.py
@@ -5,10 +5,11 @@
 """
 
 import json
+import math
 
 from siskinthread.errors import PlatformUnavailableError
 from siskinthread.gateway import Snapshot, STATUS_OK, StatusPage
-from siskinthread.peer_news import EvacuationStatement
+from siskinthread.peer_news import EvacuationStatement, ListStatement
 from siskinthread.platform._peer_documents import fetch_document
 from siskinthread.platform._sources import (
     CONFIGURATION_KEY,
@@ -16,12 +17,38 @@
     PublishedTables,
 )
 from siskinthread.platform._store_records import KeyedRecord
+from siskinthread.source_eras import Position
 
 SNAPSHOT_PATH = "/snapshot"
+MILLISECONDS_PER_SECOND = 1000
 
 
-def snapshot_page(tables, entries, kept_ids, evacuations=None):
-    """Return the `StatusPage` of what this process knows.
+def host_snapshot_page(tables, gateway):
+    """Return the `StatusPage` of what a process knows.
+
+    Parameters
+    ----------
+    tables : PublishedTables
+        Source of the newest configuration.
+    gateway : siskinthread.gateway.Gateway
+        The rest.
+    """
+    targets = gateway.parts.targets
+    listing = gateway.target_statement()
+    if listing is not None:
+        # A host that others spare its reads has read long ago what they confirm.
+        listing = ListStatement(listing.position, listing.digest, targets.age_s())
+    return snapshot_page(
+        tables,
+        targets.entries(),
+        targets.kept_left_s(),
+        listing,
+        gateway.parts.evacuations.statement(),
+    )
+
+
+def snapshot_page(tables, entries, kept_left_s, listing, evacuations=None):
+    """Return the `StatusPage` of a configuration and targets.
 
     Parameters
     ----------
@@ -30,8 +57,10 @@
     entries : list of siskinthread.gateway.TargetEntry
         Targets as this process believes them to be.  The record of one that leaves may
         be of before, from an older copy; so it is left out.
-    kept_ids : set of str
-        Listed ids of those that have vanished and are only kept for a while.
+    kept_left_s : dict of str to float
+        Listed ids of those that have vanished and are only kept for a while, seconds.
+    listing : siskinthread.peer_news.ListStatement or None
+        Up to where the list has been read, and the age of that reading.
     evacuations : siskinthread.peer_news.EvacuationStatement or None
         Failure domains that are evacuated, as far as this process knows.
     """
@@ -39,8 +68,16 @@
     document = {
         "config": None if tables.newest is None else tables.newest.value.decode(),
         "servers": {key: entry.record.value.decode() for key, entry in serving.items()},
-        "kept": sorted(kept_ids & serving.keys()),
+        "kept": {
+            key: math.floor(left_s * MILLISECONDS_PER_SECOND)
+            for key, left_s in kept_left_s.items()
+            if key in serving
+        },
     }
+    if listing is not None:
+        position = listing.position
+        document["at"] = [position.era, position.offset]
+        document["age_ms"] = math.ceil(listing.age_s * MILLISECONDS_PER_SECOND)
     if evacuations is not None:
         document["evacuations"] = evacuations.as_document()
     return StatusPage(STATUS_OK, json.dumps(document).encode())
@@ -65,7 +102,11 @@
     try:
         config, servers = document["config"], document["servers"]
         records = [KeyedRecord(key, value.encode()) for key, value in servers.items()]
-        kept_ids = {str(one) for one in document.get("kept", ())}
+        kept_left_s = {
+            str(key): int(left_ms) / MILLISECONDS_PER_SECOND
+            for key, left_ms in document["kept"].items()
+        }
+        listing = _read_listing(document)
         published = [] if config is None else [config.encode()]
         evacuations = _read_evacuations(document)
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
@@ -73,10 +114,22 @@
     tables = PublishedTables(None).take(
         [KeyedRecord(CONFIGURATION_KEY, value) for value in published]
     )
-    listing = ListedTargets(None)
-    listing.take(records)
+    targets = ListedTargets(None)
+    targets.take(records)
     table = tables[0] if tables else None
-    return Snapshot(table, list(listing.listed.values()), kept_ids, evacuations)
+    entries = list(targets.listed.values())
+    return Snapshot(table, entries, kept_left_s, listing, evacuations)
+
+
+def _read_listing(document):
+    """Return up to where the peer has read, a `ListStatement`, or None."""
+    if document.get("at") is None:
+        return None
+    era, offset = document["at"]
+    position = Position(None if era is None else int(era), int(offset))
+    age_s = max(0, int(document["age_ms"])) / MILLISECONDS_PER_SECOND
+    # Snapshots are compared by position alone.
+    return ListStatement(position, None, age_s)
 
 
 def _read_evacuations(document):
--- a/siskinthread/platform/tests/domains_fleet.py
+++ b/siskinthread/platform/tests/domains_fleet.py
@@ -22,7 +22,7 @@
 )
 from siskinthread.platform._snapshots import (
     fetch_snapshot,
-    snapshot_page,
+    host_snapshot_page,
     SNAPSHOT_PATH,
 )
 from siskinthread.platform._sources import ListedTargets, PublishedTables
@@ -183,15 +183,9 @@
         fleet = self.fleet
         rate_bytes_s = fleet.settings.hand_out_bytes_s
         hand_out = HandOut(tables, targets, self.gateway, rate_bytes_s, SYSTEM_CLOCK)
-        believed = self.gateway.parts.targets
 
         def build_snapshot():
-            return snapshot_page(
-                tables,
-                believed.entries(),
-                believed.kept_ids(),
-                self.gateway.parts.evacuations.statement(),
-            )
+            return host_snapshot_page(tables, self.gateway)
 
         self._pages = {
             CONFIGURATION_PATH: hand_out.table_page,
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -9,7 +9,7 @@
 
 from siskinthread.gateway import Gateway, GatewaySettings
 from siskinthread.observability import Metrics
-from siskinthread.platform._snapshots import fetch_snapshot, snapshot_page
+from siskinthread.platform._snapshots import fetch_snapshot, host_snapshot_page
 from siskinthread.platform._sources import ListedTargets, PublishedTables
 from siskinthread.platform._store import StoreClient
 from siskinthread.platform._wire import PlatformWire
@@ -259,13 +259,7 @@
 
     def snapshot_page(self):
         """Return what the gateway hands to a peer that the store turns away."""
-        believed = self.gateway.parts.targets
-        return snapshot_page(
-            self.tables,
-            believed.entries(),
-            believed.kept_ids(),
-            self.gateway.parts.evacuations.statement(),
-        )
+        return host_snapshot_page(self.tables, self.gateway)
 
     def seen(self):
         """Return every request that reached a server."""
--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -19,8 +19,11 @@
 from siskinthread.settings import Address
 from siskinthread.source_eras import Position
 from standins._http_server import HttpServer
+from standins.platform_store import FIRST_ERA
 
 OTHER = "i-other"
+# An offset of the list behind all that the store has.
+AHEAD = 1000
 
 
 def peer_handler(system, page):
@@ -33,17 +36,18 @@
     return handle
 
 
-def page_of(system, document, entries, kept_ids=frozenset()):
+def page_of(system, document, entries, kept_left_s=None, offset=AHEAD):
     """Return the snapshot page of a peer that knows a document and entries.
 
-    It keeps some of these for a while only.
+    It keeps some of these for a while only, and has read the list up to an offset.
     """
     tables = type(system.tables)(None)
     targets = type(system.targets)(None)
     tables.take([record("config", document)])
     changes = targets.take([record(key, value) for key, value in entries.items()])
     believed = [change.entry for change in changes]
-    return snapshot_page(tables, believed, set(kept_ids))
+    listing = ListStatement(Position(FIRST_ERA, offset), 0, 0.0)
+    return snapshot_page(tables, believed, kept_left_s or {}, listing)
 
 
 def record(key, value):
@@ -104,7 +108,7 @@
         targets = system.gateway.parts.targets
         await until(lambda: len(targets.entries()) == 1)
         entries = {one.instance_id: listed(one) for one in system.servers}
-        page = page_of(system, published(2), entries, {gone.instance_id})
+        page = page_of(system, published(2), entries, {gone.instance_id: 2.0})
         async with HttpServer(peer_handler(system, page)) as peer:
             system.store.mode = "busy"
             system.peers.informed = [Address(peer.host, peer.port)]
@@ -115,6 +119,46 @@
     assert left == [other_id]
 
 
+def test_server_that_is_gone_is_not_listed_again_by_a_peer_with_an_older_list():
+    """A peer that was just cut off handed on a server that had left meanwhile."""
+
+    async def test(system):
+        gone, other = system.servers
+        await system.store.put("keyed.servers", gone.instance_id, None)
+        targets = system.gateway.parts.targets
+        await until(lambda: len(targets.entries()) == 1)
+        entries = {one.instance_id: listed(one) for one in system.servers}
+        page = page_of(system, published(2), entries, offset=2)
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.store.mode = "busy"
+            system.peers.informed = [Address(peer.host, peer.port)]
+            await until(lambda: system.gateway.view.table.version == 2)
+        return [one.instance_id for one in targets.entries()], other.instance_id
+
+    left, other_id = run_system(test)
+    assert left == [other_id]
+
+
+def test_server_that_only_a_peer_listed_goes_once_the_store_answers():
+    """Nobody tells a host of a server that its own reading has never held."""
+
+    async def test(system):
+        offset = system.store.topics["keyed.servers"].end
+        entries = {OTHER: listed(system.servers[0])}
+        page = page_of(system, published(2), entries, offset=offset)
+        targets = system.gateway.parts.targets
+        async with HttpServer(peer_handler(system, page)) as peer:
+            system.store.mode = "busy"
+            system.peers.informed = [Address(peer.host, peer.port)]
+            await until(lambda: targets.is_serving(OTHER))
+            system.peers.informed = []
+            system.store.mode = "up"
+            await until(lambda: not targets.is_serving(OTHER), limit_s=5.0)
+            return len(targets.entries())
+
+    assert run_system(test) == 2
+
+
 def test_host_that_starts_turned_away_serves_by_what_a_peer_knows():
     """Symptom: a restarted host refuses everything for as long as the store does."""
 
--- a/siskinthread/platform/tests/test_rejected_hosts.py
+++ b/siskinthread/platform/tests/test_rejected_hosts.py
@@ -6,7 +6,7 @@
 import pytest
 
 from siskinthread.errors import PlatformUnavailableError
-from siskinthread.platform._snapshots import snapshot_page, SNAPSHOT_PATH
+from siskinthread.platform._snapshots import host_snapshot_page, SNAPSHOT_PATH
 from siskinthread.platform.tests.fleet import LOOPBACK, OTHER_KEY, run_fleet, TENANTS
 from siskinthread.platform.tests.system import (
     fetch_soon,
@@ -57,16 +57,9 @@
 
 async def serve_snapshots(entry):
     """Serve what an entry knows; return where."""
-    parts = entry.gateway.parts
 
     def page():
-        targets = parts.targets
-        return snapshot_page(
-            entry.tables,
-            targets.entries(),
-            targets.kept_ids(),
-            parts.evacuations.statement(),
-        )
+        return host_snapshot_page(entry.tables, entry.gateway)
 
     listening = curio.tcp_server_socket(LOOPBACK, 0)
     pages = {SNAPSHOT_PATH: page}
