Read changes up to the end of the log before they count as read

Found while looking elsewhere for the cause of the handed-on target: a list dated newer than what was seen.

Cause: an answer of the store holds 1 MB of records at most. The rest was read one interval later, and so on, while the list counted as of the first read. Reckoned, not played: 3,000 targets that write 250 bytes each in 1.2 s write 6 MB in a cut of 10 s; at one answer a second a host would know the last leavings some 15 s later, and tell others its list as new.

Change: a read goes on until it is at the end that the answer tells. No further call where one answer holds all.

test_changes_are_read_up_to_the_end_of_the_log fails without the change (the first records only). The stand-in of the store bounds its answers as the real one does.

--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -15,6 +15,7 @@
 from siskinthread.platform._store_era import EraReader
 from siskinthread.platform._store_records import (
     framed,
+    read_end,
     read_item,
     read_keyed,
     readable,
@@ -224,7 +225,10 @@
         await self._call("leave", "POST", target, content, [JSON_HEADER])
 
     async def read_changes(self, topic, position, wait_s=0.0):
-        """Return the records from a position on, and the position behind them.
+        """Return all records from a position on, and the position behind them.
+
+        An answer holds 1 MB at most.  The targets of a large fleet write more while a
+        host is cut off, and a list that lacks the rest would count as just read.
 
         Parameters
         ----------
@@ -249,6 +253,16 @@
         PlatformUnavailableError
             If no readable answer came in time.
         """
+        records = []
+        while True:
+            read, position, end = await self._read_some(topic, position, wait_s)
+            records += read
+            if not read or position.offset >= end:
+                return readable(records, topic), position
+            wait_s = 0.0
+
+    async def _read_some(self, topic, position, wait_s):
+        """Return the records of one answer, the position behind them, and the end."""
         self._check_era(position)
         target = (
             f"/siskinthread/log-read?topic={topic}&part={ONLY_PARTITION}"
@@ -275,7 +289,7 @@
             raise _unreadable(error) from error
         read = [read_keyed(content) for content in contents]
         behind = Position(answer.era, position.offset + len(contents))
-        return readable(read, topic), behind
+        return read, behind, read_end(answer.body)
 
     async def _call(self, name, method, target, body=b"", headers=(), extra_wait_s=0.0):
         """Return the `_StoreAnswer` to a call, which is sent once at most."""
--- a/siskinthread/platform/_store_records.py
+++ b/siskinthread/platform/_store_records.py
@@ -75,6 +75,11 @@
     return records
 
 
+def read_end(body):
+    """Return the offset behind all records that there are, of the same answer."""
+    return int.from_bytes(body[:OFFSET_BYTES], "big")
+
+
 def read_keyed(content):
     """Return the `KeyedRecord` of a record; None if it has no readable key."""
     key_end = 1 + content[0]
--- a/siskinthread/platform/tests/test_store_era.py
+++ b/siskinthread/platform/tests/test_store_era.py
@@ -256,3 +256,21 @@
         return [join["generation"] for join in joins]
 
     assert run_client(test) == [0, 9, 0]
+
+
+def test_changes_are_read_up_to_the_end_of_the_log():
+    """A list that lacked what did not fit into one answer counted as just read."""
+    store = PlatformStoreStandin()
+    store.read_limit_bytes = 100
+
+    async def test(store, client):
+        _, position = await client.read_newest(TOPIC)
+        calls_before = len(store.calls)
+        for number in range(50):
+            await store.put(TOPIC, f"i-{number}", {"state": "ready"})
+        records, behind = await client.read_changes(TOPIC, position)
+        assert len(store.calls) - calls_before > 1
+        return [one.key for one in records], behind.offset
+
+    keys = [f"i-{number}" for number in range(50)]
+    assert run_client(test, store) == (keys, 50)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -29,6 +29,7 @@
 EVACUATION_PREFIX = "evacuate/"
 OFFSET_BYTES = 8
 LENGTH_BYTES = 4
+READ_LIMIT_BYTES = 1024 * 1024
 
 
 class Topic:
@@ -102,15 +103,27 @@
         Paths of the calls so far.
     era : int or None
         Rises with each restore; None tells no era, as an older store does.
+    read_limit_bytes : int
+        Most bytes of records in an answer, but for a single larger record.
     """
 
-    __slots__ = ("_copy", "_generation", "_members", "calls", "era", "mode", "topics")
+    __slots__ = (
+        "_copy",
+        "_generation",
+        "_members",
+        "calls",
+        "era",
+        "mode",
+        "read_limit_bytes",
+        "topics",
+    )
 
     def __init__(self):
         self.topics = {}
         self.mode = "up"
         self.calls = []
         self.era = FIRST_ERA
+        self.read_limit_bytes = READ_LIMIT_BYTES
         self._copy = {}
         self._members = {}
         self._generation = 0
@@ -226,7 +239,11 @@
             number.to_bytes(OFFSET_BYTES, "big") for number in (topic.end, topic.first)
         )
         for record in topic.records[start - topic.first :]:
-            body += len(record).to_bytes(LENGTH_BYTES, "big") + record
+            framed = len(record).to_bytes(LENGTH_BYTES, "big") + record
+            has_any = len(body) > 2 * OFFSET_BYTES
+            if has_any and len(body) + len(framed) > self.read_limit_bytes:
+                break
+            body += framed
         await exchange.answer(
             200, body, "application/octet-stream", self._era_headers()
         )
