Take a peer's kept target only if the list holds it

Cause: a target that a peer keeps, and that this host knows to have left, was noted as kept without an entry; the next look at the list failed with a KeyError, which ends the task. And a listener that looks at the list while graces end had the second of two targets dropped twice. A host that knows targets takes no list of a peer without a position.

Two new cases of test_kept_targets failed before with KeyError: 'i-1' and 'i-2'.

--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -230,6 +230,8 @@
         if self.dependency.age_s() is not None and not self.dependency.is_lost:
             return True
         listing = snapshot.listing
+        if not is_informed and self._targets.entries():
+            return True
         if is_informed and not self._is_new(listing):
             _logger.event("peer's target list is older", peer=str(teller))
             return False
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -259,11 +259,12 @@
             present.add(entry.instance_id)
             if entry.instance_id in self._departures and not entry.is_leaving:
                 left_ids.append(entry.instance_id)
-            if entry.listed_id in kept_left_s:
-                self._kept.keep_as_told(entry.instance_id, kept_left_s[entry.listed_id])
-                self._take(entry, told_by)
-            else:
+            if entry.listed_id not in kept_left_s:
                 self.put(entry, told_by)
+                continue
+            self._take(entry, told_by)
+            if entry.instance_id in self._entries:
+                self._kept.keep_as_told(entry.instance_id, kept_left_s[entry.listed_id])
         if left_ids:
             _logger.event(
                 "listed targets have left", targets=sorted(left_ids), told_by=told_by
@@ -385,7 +386,9 @@
     def expire_kept(self):
         """Remove kept entries that did not come back in time."""
         for instance_id in self._kept.over():
-            self._remove(self._entries[instance_id], GRACE)
+            # Whoever is told of one may look at the list, which ends others.
+            if instance_id in self._kept:
+                self._remove(self._entries[instance_id], GRACE)
 
     def serving(self, service_name):
         """Return the targets of a service that may get requests."""
--- a/siskinthread/gateway/tests/test_kept_targets.py
+++ b/siskinthread/gateway/tests/test_kept_targets.py
@@ -102,3 +102,37 @@
     assert not targets.is_serving("i-1")
     targets.replace(targets.without_gone([entry("i-1")], {"i-1"}), True, "a peer")
     assert not targets.is_serving("i-1")
+
+
+def test_kept_target_of_a_peer_that_has_left_is_not_taken():
+    """The list's upkeep failed on a kept target that the list did not hold."""
+    now = clock()
+    targets = TargetList(SETTINGS, now)
+    targets.replace([entry("i-1"), entry("i-2")])
+    targets.note_leaving("i-1", "its answer")
+    targets.vanish("i-1")
+    kept_left_s = {"i-1": 1.0, "i-2": 1.0}
+    targets.replace([entry("i-1"), entry("i-2")], True, "a peer", kept_left_s)
+    assert ids(targets.entries()) == ["i-2"]
+    assert targets.kept_ids() == {"i-2"}
+    now.advance(GRACE_S)
+    assert not targets.entries()
+
+
+def test_listeners_may_look_at_the_list_while_graces_end():
+    """The second of two targets was dropped twice."""
+    now = clock()
+    targets = TargetList(SETTINGS, now)
+    targets.replace([entry("i-1"), entry("i-2")])
+    targets.note_outage()
+    targets.replace([])
+    told = []
+
+    def look(entry):
+        told.append(entry.instance_id)
+        targets.entries()
+
+    targets.listen(look)
+    now.advance(GRACE_S)
+    assert not targets.entries()
+    assert sorted(told) == ["i-1", "i-2"]
