Let two tests of a peer's list share their set-up

Cause: the tests of a peer that keeps a gone server and of one with an older list stood as copies but for the list. Change: one function plays both; names and checks are unchanged.

--- a/siskinthread/platform/tests/test_outages.py
+++ b/siskinthread/platform/tests/test_outages.py
@@ -99,8 +99,11 @@
     assert run_system(test) == (200, 401)
 
 
-def test_server_that_is_gone_is_not_listed_again_by_a_peer_that_keeps_it():
-    """Two hosts listed a gone server again, which a peer just back kept by grace."""
+def listed_after_a_snapshot(is_kept, offset):
+    """Return which servers a host lists, and which it should.
+
+    One of two is gone, and a peer that has read the list up to an offset hands it on.
+    """
 
     async def test(system):
         gone, other = system.servers
@@ -108,35 +111,27 @@
         targets = system.gateway.parts.targets
         await until(lambda: len(targets.entries()) == 1)
         entries = {one.instance_id: listed(one) for one in system.servers}
-        page = page_of(system, published(2), entries, {gone.instance_id: 2.0})
+        kept_left_s = {gone.instance_id: 2.0} if is_kept else {}
+        page = page_of(system, published(2), entries, kept_left_s, offset)
         async with HttpServer(peer_handler(system, page)) as peer:
             system.store.mode = "busy"
             system.peers.informed = [Address(peer.host, peer.port)]
             await until(lambda: system.gateway.view.table.version == 2)
-        return [one.instance_id for one in targets.entries()], other.instance_id
+        return [one.instance_id for one in targets.entries()], [other.instance_id]
 
-    left, other_id = run_system(test)
-    assert left == [other_id]
+    return run_system(test)
 
 
-def test_server_that_is_gone_is_not_listed_again_by_a_peer_with_an_older_list():
-    """A peer that was just cut off handed on a server that had left meanwhile."""
+def test_server_that_is_gone_is_not_listed_again_by_a_peer_that_keeps_it():
+    """Two hosts listed a gone server again, which a peer just back kept by grace."""
+    seen, expected = listed_after_a_snapshot(is_kept=True, offset=AHEAD)
+    assert seen == expected
 
-    async def test(system):
-        gone, other = system.servers
-        await system.store.put("keyed.servers", gone.instance_id, None)
-        targets = system.gateway.parts.targets
-        await until(lambda: len(targets.entries()) == 1)
-        entries = {one.instance_id: listed(one) for one in system.servers}
-        page = page_of(system, published(2), entries, offset=2)
-        async with HttpServer(peer_handler(system, page)) as peer:
-            system.store.mode = "busy"
-            system.peers.informed = [Address(peer.host, peer.port)]
-            await until(lambda: system.gateway.view.table.version == 2)
-        return [one.instance_id for one in targets.entries()], other.instance_id
 
-    left, other_id = run_system(test)
-    assert left == [other_id]
+def test_server_that_is_gone_is_not_listed_again_by_a_peer_with_an_older_list():
+    """A peer that was just cut off handed on a server that had left meanwhile."""
+    seen, expected = listed_after_a_snapshot(is_kept=False, offset=2)
+    assert seen == expected
 
 
 def test_server_that_only_a_peer_listed_goes_once_the_store_answers():
