--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
-"""A server that is leaving crashes within an answer that has no length."""
+"""A server is taken away at short notice, within an answer that has no length."""
 
 import http.client
+import signal
 import threading
 import time
 
@@ -19,12 +20,12 @@
 CALM_S = 4.0
 PARTS = 40
 GAP_S = 0.1
-SERVERS = 6
+SERVERS = 7
 REQUESTS = 8
-# From the start of the requests until the server reports that it is leaving, and from
-# there until it crashes; gateways read the list every second.
-LEAVE_AFTER_S = 0.5
-CRASH_AFTER_S = 2.2
+# From the start of the requests until the server reports that it is draining, and from
+# there until it is gone.
+NOTICE_AFTER_S = 0.5
+GONE_AFTER_S = 2.0
 WHOLE = b"".join(line(number) for number in range(1, PARTS + 1))
 
 
@@ -63,6 +64,17 @@
         return self.status == 200 and self.body is not None and self.body != WHOLE
 
 
+def take_away(case, name, process, address):
+    """Let a server report that it drains, and end it at the end of its notice."""
+    case.publish("keyed.servers", name, entry(address, "draining", 2))
+    case.note(f"the store has confirmed that {name} is draining")
+    time.sleep(GONE_AFTER_S)
+    process.send_signal(signal.SIGTERM)
+    process.wait()
+    case.publish("keyed.servers", name, None)
+    case.note(f"server {name} is gone")
+
+
 def run(case):
     """Play the case."""
     case.start_store()
@@ -78,17 +90,12 @@
         callers.append(Caller(case, front, f"list-{number}"))
         callers[-1].start()
         time.sleep(0.05)
-    time.sleep(LEAVE_AFTER_S)
+    time.sleep(NOTICE_AFTER_S)
     busy = [name for name in names if read_records(servers[name][2])]
     if not busy:
         return COULD_NOT_RUN
-    process, address, _ = servers[busy[0]]
-    case.publish("keyed.servers", busy[0], entry(address, "draining", 2))
-    case.note(f"the store has confirmed that {busy[0]} is draining")
-    time.sleep(CRASH_AFTER_S)
     if case.has_trouble:
-        process.kill()
-        case.note(f"server {busy[0]} is killed")
+        take_away(case, busy[0], *servers[busy[0]][:2])
     for caller in callers:
         caller.join()
     case.note_runs([one[2] for one in servers.values()])
