--- a/review/standins/rank_group.py
+++ b/review/standins/rank_group.py
@@ -241,6 +241,7 @@
         data = head(request_id, lines, f"i-{rank.number}", status) + body
         writer.write(data)
         await writer.drain()
+        self._note("answers a call", rank=rank.number, status=status)
         return data
 
     async def _stream(self, rank, headers, request_id, reader, writer):
@@ -259,6 +260,7 @@
         ]
         run = object()
         rank.running.add(run)
+        self._note("runs", rank=rank.number, id=request_id)
         self._work.set()
         try:
             first = int(headers.get("last-event-id", 0)) + 1
@@ -272,6 +274,7 @@
                 writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             writer.write(b"0\r\n\r\n")
             await writer.drain()
+            self._note("answered", rank=rank.number, id=request_id)
         finally:
             rank.running.discard(run)
         return True
