Show that a kept channel takes a request too late in a drain

Case 3 of the review, from an entry that was suspected and not shown: an answer whose head went out before SIGTERM keeps its channel, and the next request on it is cut at the end of the time to stop.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A server is taken away at short notice, within an answer that has no length."""
+"""A kept channel takes a new request late in a drain, and the request is cut."""
 
 import http.client
 import signal
@@ -9,99 +9,94 @@
     BROKEN,
     caller_headers,
     COULD_NOT_RUN,
-    entry,
     HELD,
-    read_records,
     route,
     run_case,
 )
-from review.standins.server import line
 
+CLIENTS = 6
+# Longer than `stable_window_ms`, so that all machines are in touch.
 CALM_S = 4.0
-PARTS = 40
-GAP_S = 0.1
-SERVERS = 7
-REQUESTS = 8
-# From the start of the requests until the server reports that it is draining, and from
-# there until it is gone.
-NOTICE_AFTER_S = 0.5
-GONE_AFTER_S = 2.0
-WHOLE = b"".join(line(number) for number in range(1, PARTS + 1))
+SPREAD_S = 0.03
+# The first stream begins this long before SIGTERM and has 68 events, 0.1 s apart; the
+# second one follows on the same channel and has 30.
+TERM_AFTER_S = 0.5
+STREAMS = ("/stream/68", "/stream/30")
 
 
-class Caller(threading.Thread):
-    """A client that sends one request and reads its answer."""
+class Client(threading.Thread):
+    """A client that sends one stream after the other on a kept channel."""
 
-    def __init__(self, case, address, request_id):
+    def __init__(self, case, address, name):
         super().__init__(daemon=True)
         self._case = case
-        self._channel = http.client.HTTPConnection(*address, timeout=10.0)
-        self.request_id = request_id
-        self.status = None
-        self.seal = None
-        self.body = None
+        self._channel = http.client.HTTPConnection(*address, timeout=12.0)
+        self._name = name
+        self.begin = threading.Event()
+        self.results = []
 
     def run(self):
-        """Send the request."""
-        self._case.note(f"client sends {self.request_id}")
+        """Send both streams, the second one if the channel is still open."""
+        self._send(f"{self._name}-alert", "/alert/2f")
+        self.begin.wait()
+        for number, path in enumerate(STREAMS, 1):
+            if not self._send(f"{self._name}-{number}", path):
+                return
+
+    def _send(self, request_id, path):
+        """Send a request; return whether the channel may carry another one."""
+        self._case.note(f"client sends {request_id} {path}")
         try:
-            headers = caller_headers(self.request_id)
-            self._channel.request("GET", "/list/2f", headers=headers)
+            self._channel.request("POST", path, b"text", caller_headers(request_id))
             response = self._channel.getresponse()
-            self.status = response.status
-            self.seal = response.getheader("x-response-seal")
-            self.body = response.read()
-            text = f"status {self.status}, {len(self.body)} of {len(WHOLE)} bytes"
-            length = response.getheader("content-length")
-            text += f", seal {self.seal}, content-length {length}"
+            size = len(response.read())
+            result = f"whole answer, status {response.status}, {size} bytes"
+            is_kept = not response.will_close
         except (OSError, http.client.HTTPException) as error:
-            text = f"no whole answer: {error!r}"
-            self.body = None
-        self._case.note(f"client got for {self.request_id}: {text}")
-
-    def is_wrong(self):
-        """Return whether a success looked complete without the whole body."""
-        return self.status == 200 and self.body is not None and self.body != WHOLE
-
-
-def take_away(case, name, process, address):
-    """Let a server report that it drains, and end it at the end of its notice."""
-    case.publish("keyed.servers", name, entry(address, "draining", 2))
-    case.note(f"the store has confirmed that {name} is draining")
-    time.sleep(GONE_AFTER_S)
-    process.send_signal(signal.SIGTERM)
-    process.wait()
-    case.publish("keyed.servers", name, None)
-    case.note(f"server {name} is gone")
+            result = f"no whole answer: {error!r}"
+            is_kept = False
+        self.results.append((request_id, result))
+        text = "channel kept" if is_kept else "channel at its end"
+        self._case.note(f"client got for {request_id}: {result}; {text}")
+        # Otherwise the client would open a new channel by itself.
+        return is_kept
 
 
 def run(case):
     """Play the case."""
     case.start_store()
-    case.publish_configuration([route("/list/", "safe")])
-    options = ("--parts", str(PARTS), "--gap-s", str(GAP_S))
-    names = [f"i-{number}" for number in range(1, SERVERS + 1)]
-    servers = {name: case.start_server(name, *options) for name in names}
+    case.publish_configuration(
+        [
+            route("/stream/", "streaming", resumable=True, target_gap_ms=120),
+            route("/alert/", "unsafe", attempts=1),
+        ]
+    )
+    records = [case.start_server(f"i-{number}")[2] for number in (1, 2, 3)]
     case.start_gateways(2)
+    gateway = case.gateways[0]
+    clients = [
+        Client(case, gateway.front, f"client-{number}") for number in range(CLIENTS)
+    ]
+    for client in clients:
+        client.start()
+        time.sleep(SPREAD_S)
     time.sleep(CALM_S)
-    callers = []
-    for number in range(REQUESTS):
-        front = case.gateways[number % 2].front
-        callers.append(Caller(case, front, f"list-{number}"))
-        callers[-1].start()
-        time.sleep(0.05)
-    time.sleep(NOTICE_AFTER_S)
-    busy = [name for name in names if read_records(servers[name][2])]
-    if not busy:
-        return COULD_NOT_RUN
+    for client in clients:
+        client.begin.set()
+        time.sleep(SPREAD_S)
+    time.sleep(TERM_AFTER_S)
     if case.has_trouble:
-        take_away(case, busy[0], *servers[busy[0]][:2])
-    for caller in callers:
-        caller.join()
-    case.note_runs([one[2] for one in servers.values()])
-    wrong = [one.request_id for one in callers if one.is_wrong()]
-    case.note(f"successes without the server's whole body: {wrong}")
-    return BROKEN if wrong else HELD
+        gateway.process.send_signal(signal.SIGTERM)
+        case.note("gateway-1 gets SIGTERM")
+    for client in clients:
+        client.join()
+    case.note_runs(records)
+    results = [result for client in clients for result in client.results]
+    lost = [name for name, text in results if not text.startswith("whole answer")]
+    case.note(f"{len(lost)} of {len(results)} requests got no whole answer: {lost}")
+    if any("status 200" not in client.results[1][1] for client in clients):
+        return COULD_NOT_RUN
+    return BROKEN if lost else HELD
 
 
 if __name__ == "__main__":
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -4,9 +4,7 @@
 prints ``listening HOST:PORT``.  It serves requests as a sound server does:
 
 - paths under ``/stream/``: a stream of events with ids from 1 on, in chunks, which
-  resumes after ``Last-Event-Id``;
-- paths under ``/list/``: lines, in an answer that has no length and ends with its
-  channel;
+  resumes after ``Last-Event-Id``; ``/stream/30`` has 30 events;
 - all other paths: one answer with its length, after ``--work-s``, or after ``--slow-s``
   for those under ``/slow/``.
 
@@ -29,9 +27,10 @@
     return f"id: {number}\ndata: part {number}\n\n".encode()
 
 
-def line(number):
-    """Return a line of an answer that has no length."""
-    return f"line {number} of the answer\n".encode()
+def event_count(path, default):
+    """Return how many events the stream of a path has."""
+    text = path.removeprefix("/stream/")
+    return int(text) if text.isdecimal() else default
 
 
 def whole_body(request_id):
@@ -98,7 +97,7 @@
         finally:
             self._running -= 1
         self.note("answered" if is_whole else "dropped", request_id, path)
-        return is_whole and not path.startswith("/list/")
+        return is_whole
 
     async def _run(self, request, reader, writer):
         """Run a request; return whether its whole answer was sent."""
@@ -112,19 +111,12 @@
             first = int(headers.get("last-event-id", 0)) + 1
             lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
             writer.write(head(request_id, lines, self._options.instance_id))
-            for number in range(first, self._options.parts + 1):
+            for number in range(first, event_count(path, self._options.parts) + 1):
                 if await has_left(reader, self._options.gap_s):
                     return False
                 data = event(number)
                 writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             writer.write(b"0\r\n\r\n")
-        elif path.startswith("/list/"):
-            lines += ["Content-Type: text/plain", "Connection: close"]
-            writer.write(head(request_id, lines, self._options.instance_id))
-            for number in range(1, self._options.parts + 1):
-                if await has_left(reader, self._options.gap_s):
-                    return False
-                writer.write(line(number))
         else:
             is_slow = path.startswith("/slow/")
             work_s = self._options.slow_s if is_slow else self._options.work_s
