--- a/review/standins/rank_group.py
+++ b/review/standins/rank_group.py
@@ -398,7 +398,8 @@
             len(set(ranks[rank.number]) - set(held[rank.number]))
             for ranks, held in zip(experts, rank.map, strict=True)
         ]
-        if max(new) > SPARE:
+        held_counts = [len(ranks[rank.number]) for ranks in experts]
+        if max(new) > SPARE or max(held_counts) > PLACES:
             return False
         rank.highest = version
         rank.prepared = (version, experts)
