--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """SIGHUP while a gateway drains after SIGTERM: its requests must be finished."""
 
 import http.client
+import os
 import signal
 import threading
 import time
@@ -123,4 +124,5 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, run)
+    # With TROUBLE=0 the same is played without the disruption.
+    run_case(__file__, run, os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A kept channel takes a new request late in a drain, and the request is cut."""
 
 import http.client
+import os
 import signal
 import threading
 import time
@@ -100,4 +101,5 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, run)
+    # With TROUBLE=0 the same is played without the disruption.
+    run_case(__file__, run, os.environ.get("TROUBLE", "1") != "0")
--- a/review/common.py
+++ b/review/common.py
@@ -117,10 +117,12 @@
     ----------
     folder : pathlib.Path
         Folder of the case, where ``record.txt`` is written.
+    has_trouble : bool
+        Whether the disruption is to come.
     """
 
-    def __init__(self, folder):
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(self, folder, has_trouble):
+        self.has_trouble = has_trouble
         self._folder = folder
         self._lines = []
         self._stack = contextlib.ExitStack()
@@ -319,7 +321,7 @@
     return [json.loads(line) for line in path.read_text().splitlines()]
 
 
-def run_case(file, run):
+def run_case(file, run, has_trouble):
     """Run a case and end the process with its exit status.
 
     Parameters
@@ -328,10 +330,12 @@
         The case's source file; ``record.txt`` is written beside it.
     run : callable
         Called with a `Case`; returns `HELD`, `BROKEN` or `COULD_NOT_RUN`.
+    has_trouble : bool
+        Whether the disruption is to come.
     """
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
-        with Case(Path(file).resolve().parent) as case:
+        with Case(Path(file).resolve().parent, has_trouble) as case:
             try:
                 status = run(case)
             finally:
