--- a/review/support_2/server.py
+++ b/review/support_2/server.py
@@ -2,7 +2,7 @@
 
 It serves one request at a time on a connection, answers 421 to a request that expects
 another instance, echoes the id, seals its answers and states its load.  ``POST /set``
-changes its state; ``GET /runs`` returns the record of the requests that it has received.
+changes its state; ``GET /runs`` returns the record of its requests.
 """
 
 import argparse
@@ -187,9 +187,12 @@
 async def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--instance-id", default="i-1")
     options = parser.parse_args()
-    server = await asyncio.start_server(Server(options).serve, options.host, 0)
+    server = await asyncio.start_server(
+        Server(options).serve, options.host, options.port
+    )
     host, port = server.sockets[0].getsockname()
     print(f"listening {host}:{port} {os.getpid()}", flush=True)
     await server.serve_forever()
