Review case 8: one entry of another writer stops the list of servers

An address with 5,000 digits ends the task that follows the list, each time it is restarted. Servers that drain go on being sent requests.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
