Review case 8: a late beat brings back a server that has left

One beat is carried out 6 s late, after the server's entry was removed; the gateway lists the server again and sends it requests.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
-"""An entry of another writer, whose address can't be read, and then a server leaves."""
+"""A beat that is carried out late brings back a server that has left."""
 
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -8,13 +9,27 @@
 sys.path.insert(0, str(ROOT))
 
 from review.support_2 import harness  # noqa: E402
+from review.support_2.beats import Beats  # noqa: E402
 
-# Digits after the colon of an address that is none; the record has 5 KB of 256 KB.
-DIGITS = 5000
-IN_TOUCH_S = 4.0
-DRAIN_S = 2.0
-ASKED_S = 2.5
 LEAVING = "i-1"
+# A write without an answer is "done 1 to 6 s later".
+LATE_S = 6.0
+# From the lost answer to the leaving; the store is stable after 3 s.
+LEAVES_AFTER_S = 4.0
+DRAIN_S = 2.0
+ASKED_S = 4.0
+
+
+def ask(case, front, left_s):
+    """Send requests one after the other until some seconds after the leaving."""
+    number = 0
+    while time.monotonic() < left_s + ASKED_S:
+        number += 1
+        data = harness.request_bytes("GET", "/safe/x", f"q{number:03}")
+        sent_s = time.monotonic()
+        answer = harness.ask(front, data)
+        case.note(f"q{number:03} sent {sent_s - left_s:.2f} s after it: {answer}")
+        time.sleep(0.1)
 
 
 def run(case):
@@ -22,36 +37,34 @@
     case.start_store()
     routes = [harness.route("/safe/", "safe")]
     case.append("keyed.op", "config", harness.configuration(1, routes))
-    servers = {name: case.start_server(name)[1] for name in (LEAVING, "i-2")}
-    for name, address in servers.items():
-        case.append("keyed.servers", name, harness.entry(address))
+    addresses = {name: case.start_server(name)[1] for name in (LEAVING, "i-2")}
+    beats = {name: Beats(case, name, one) for name, one in addresses.items()}
     _, front, _ = case.start_gateway()
-    time.sleep(IN_TOUCH_S)
+    time.sleep(4.0)
+    lost = beats[LEAVING].next()
+    lost_at_s = time.monotonic()
     if harness.trouble():
-        foreign = harness.entry(("127.0.0.1", "8" * DIGITS))
-        case.append("keyed.servers", "noted-by-another-writer", foreign)
-        case.note(f"another writer's entry, its address has {DIGITS} digits")
-    time.sleep(2.0)
-    draining = harness.entry(servers[LEAVING], state="draining", sequence=2)
-    drained_s = case.append("keyed.servers", LEAVING, draining)
-    case.note(f"{LEAVING} has reported that it drains, acknowledged by the store")
-    time.sleep(DRAIN_S)
-    number = 0
-    while time.monotonic() < drained_s + DRAIN_S + ASKED_S:
-        number += 1
-        data = harness.request_bytes("GET", "/safe/x", f"q{number:03}")
-        sent_s = time.monotonic()
-        answer = harness.ask(front, data)
-        case.note(f"q{number:03} sent {sent_s - drained_s:.2f} s after it: {answer}")
-        time.sleep(0.1)
+        case.note(f"beat {lost['sequence']} of {LEAVING} gets no answer")
+    time.sleep(LEAVES_AFTER_S)
+    last = beats[LEAVING].end()
+    left_s = case.append("keyed.servers", LEAVING, None)
+    case.note(f"{LEAVING} has left after beat {last}, acknowledged by the store")
+    client = threading.Thread(target=ask, args=(case, front, left_s))
+    client.start()
+    time.sleep(max(0.0, lost_at_s + LATE_S - time.monotonic()))
+    if harness.trouble():
+        case.append("keyed.servers", LEAVING, lost)
+        case.note(f"the store carries out beat {lost['sequence']}, 6 s late")
+    client.join()
     late = [
         one
-        for one in case.runs(servers[LEAVING])
-        if one["ran"] and one["arrived_s"] > drained_s + DRAIN_S
+        for one in case.runs(addresses[LEAVING])
+        if one["ran"] and one["arrived_s"] > left_s + DRAIN_S
     ]
     for one in late:
-        after_s = one["arrived_s"] - drained_s
+        after_s = one["arrived_s"] - left_s
         case.note(f"DRAIN: {one['id']} reaches {LEAVING} {after_s:.2f} s after it")
+    beats["i-2"].end()
     return harness.BROKEN if late else harness.HELD
 
 
