--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,6 @@
 """A short silence of the store after a change of the configuration."""
 
+import os
 import sys
 import time
 from pathlib import Path
@@ -9,6 +10,8 @@
 
 from review.support_2 import harness  # noqa: E402
 
+# Whether the disruption of the case happens.
+TROUBLE = os.environ["TROUBLE"] != "0"
 ZONES = ("trondheim-a", "trondheim-b")
 EPISODES = 6
 # The silence begins so long after the first change, and lasts so long.
@@ -71,10 +74,10 @@
         version += 1
         publish(case, version, keys)
         time.sleep(SILENT_AFTER_S)
-        if harness.trouble():
+        if TROUBLE:
             case.set_store(mode="silent")
         time.sleep(SILENT_S)
-        if harness.trouble():
+        if TROUBLE:
             case.set_store(mode="up")
             case.note(f"the store was silent for {SILENT_S} s")
         time.sleep(CALM_S)
@@ -98,4 +101,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.play(Path(__file__).parent, run))
+    sys.exit(harness.play(Path(__file__).parent, run, TROUBLE))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 """The last tenant of a deployment loses its key."""
 
+import os
 import sys
 import time
 from pathlib import Path
@@ -9,6 +10,8 @@
 
 from review.support_2 import harness  # noqa: E402
 
+# Whether the disruption of the case happens.
+TROUBLE = os.environ["TROUBLE"] != "0"
 KEY = harness.KEY
 FOREIGN_KEY = "qqqqqqqqqqqqqqqqqqqq"
 IN_TOUCH_S = 4.0
@@ -54,11 +57,11 @@
     if first != [200, 401]:
         return harness.NOT_RUN
     # Without the disruption, the same version is published with the key in it.
-    confirmed_s = publish(case, 2, has_key=not harness.trouble())
+    confirmed_s = publish(case, 2, has_key=not TROUBLE)
     time.sleep(max(0.0, confirmed_s + CONFIG_APPLY_S + 0.5 - time.monotonic()))
     for number in range(REQUESTS):
         key = KEY if number % 2 else FOREIGN_KEY
-        if not harness.trouble() and key == KEY:
+        if not TROUBLE and key == KEY:
             continue
         ask(case, front, f"safe-{number}", "GET", "/safe/x", key)
         ask(case, front, f"unsafe-{number}", "POST", "/unsafe/x", key)
@@ -75,4 +78,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.play(Path(__file__).parent, run))
+    sys.exit(harness.play(Path(__file__).parent, run, TROUBLE))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,6 @@
 """A beat that is carried out late brings back a server that has left."""
 
+import os
 import sys
 import threading
 import time
@@ -11,6 +12,8 @@
 from review.support_2 import harness  # noqa: E402
 from review.support_2.beats import Beats  # noqa: E402
 
+# Whether the disruption of the case happens.
+TROUBLE = os.environ["TROUBLE"] != "0"
 LEAVING = "i-1"
 # A write without an answer is "done 1 to 6 s later".
 LATE_S = 5.9
@@ -43,7 +46,7 @@
     time.sleep(4.0)
     lost = beats[LEAVING].next()
     lost_at_s = time.monotonic()
-    if harness.trouble():
+    if TROUBLE:
         case.note(f"beat {lost['sequence']} of {LEAVING} gets no answer")
     time.sleep(LEAVES_AFTER_S)
     last = beats[LEAVING].end()
@@ -52,7 +55,7 @@
     client = threading.Thread(target=ask, args=(case, front, left_s))
     client.start()
     time.sleep(max(0.0, lost_at_s + LATE_S - time.monotonic()))
-    if harness.trouble():
+    if TROUBLE:
         case.append("keyed.servers", LEAVING, lost)
         case.note(f"the store carries out beat {lost['sequence']}, {LATE_S} s late")
     client.join()
@@ -69,4 +72,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.play(Path(__file__).parent, run))
+    sys.exit(harness.play(Path(__file__).parent, run, TROUBLE))
--- a/review/support_2/harness.py
+++ b/review/support_2/harness.py
@@ -93,11 +93,6 @@
 """
 
 
-def trouble():
-    """Return whether the disruption of the case shall happen."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def route(prefix, kind, **fields):
     """Return a route in the operator's form."""
     values = {
@@ -367,11 +362,13 @@
     return Answer(response.status, headers, body, is_complete)
 
 
-def play(folder, run):
+def play(folder, run, has_trouble):
     """Run a case with its record in a folder; return the exit status."""
     try:
         with Case(folder) as case:
-            case.note("with the disruption" if trouble() else "without the disruption")
+            case.note(
+                "with the disruption" if has_trouble else "without the disruption"
+            )
             status = run(case)
             case.note(f"exit status {status}")
             return status
