Log how each waiting read of the store ends

Cause: of a read that waits for changes, the log told nothing until the next one, so a change that came into force late could be put down to a lost read, a pause between reads or the lease of a reader alike. Change: one line when such a read ends, with its target, its duration and what ended it.

--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -12,6 +12,7 @@
     RecordsUnreadError,
     SourceRestoredError,
 )
+from siskinthread.observability import part_logger
 from siskinthread.platform._store_era import EraReader
 from siskinthread.platform._store_records import (
     decode_item,
@@ -23,6 +24,7 @@
 )
 from siskinthread.shared_services import HttpClient, parse_json
 from siskinthread.source_eras import Position
+from siskinthread.timing import SYSTEM_CLOCK
 
 SERVICE = "platform store"
 MILLISECONDS_PER_SECOND = 1000
@@ -33,6 +35,8 @@
 ONLY_PARTITION = 0
 JSON_HEADER = ("content-type", "application/json")
 
+_logger = part_logger("platform")
+
 
 class GroupAssignment:
     """Assignment of a member of a group.
@@ -313,19 +317,29 @@
 
         Such a read may never be answered, as the records before its position are gone.
         """
+        began_s = SYSTEM_CLOCK.monotonic_s()
         calling = await curio.spawn(
             self._answer_or_error, name, target, wait_s, daemon=True
         )
         self._waiting_reads.add(calling)
+        ended_by = "cancellation"
         try:
             outcome = await calling.join()
+            ended_by = "answer"
+            if isinstance(outcome, PlatformUnavailableError):
+                ended_by = str(outcome)
         except curio.TaskError as error:
             if isinstance(error.__cause__, curio.TaskCancelled):
+                ended_by = "new era"
                 raise SourceRestoredError("a new era began during a read") from error
             raise
         finally:
             self._waiting_reads.discard(calling)
             await calling.cancel()
+            waited_s = round(SYSTEM_CLOCK.monotonic_s() - began_s, 3)
+            _logger.event(
+                "waiting read ended", read=target, waited_s=waited_s, ended_by=ended_by
+            )
         if isinstance(outcome, PlatformUnavailableError):
             raise outcome
         return outcome
