Check reads that wait, so that a lost one holds no change back

Cause: a read that waits confirms nothing while it waits. One that arrives in a short silence of the store is never answered; all readers begin theirs together, 0.5 s after a change. Only a failed read of the target list ended them, and a silence between two of these was not seen. Evidence: the line 'waiting read ended' shows reads that began in the silence and ended after 8.801 s without an answer. Ruled out: pauses between reads and the lease of readers (the same log, no reader was ahead). Change: PositionConfirmation holds how long ago the source had nothing after a position. While a read waits, StoreClient asks again on another connection when that is too old, and uses what it finds. The first reader of all failure domains checks once a second and tells the others by a datagram; without news hosts check after 1.25 s (readers) and 1.5 s. The same holds for suspected requests, at 1.5 s to 2.5 s. Readings of peers count by the age of the confirmation, and definite refusals need one of the last 3 s instead of 9.5 s. Reads of the configuration now wait 24 s.

--- a/siskinthread/gateway/_context.py
+++ b/siskinthread/gateway/_context.py
@@ -97,7 +97,7 @@
 
     def is_table_fresh(self):
         """Return whether the route table was confirmed recently."""
-        limit_s = self.settings.table_wait_s + self.settings.table_fresh_s
+        limit_s = self.settings.table_age_limit_s + self.settings.table_fresh_s
         for dependency in self._dependencies:
             age_s = dependency.age_s()
             if age_s is not None and age_s <= limit_s and not dependency.is_lost:
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -194,6 +194,8 @@
             self._target_follower.far_peers = peers
             self._target_follower.fetch_served = fetch_targets
         peers.on_reading = self._receive_reading
+        peers.on_far_reading = self._receive_far_reading
+        self._table_follower.tell_far = self._tell_far_readers
         self._table_follower.fetch_served = fetch_table
         peers.poison = self.parts.poison
         self.parts.part_guard.peers = peers
@@ -257,6 +259,8 @@
                 self._clock,
             )
             self._poison_follower.readers = self._suspect_readers
+            self._suspect_readers.confirmation = self._poison_follower.confirmation
+            self._suspect_readers.tell_far = self._tell_far_readers
 
     def table_position(self):
         """Return the position up to which this host has the configuration, or None."""
@@ -396,11 +400,25 @@
 
     def _table_reading(self):
         """Return the `TableReading` that this host sends to peers, or None."""
-        reading = self._table_follower.statement()
+        return self._with_suspects(self._table_follower.statement())
+
+    def _with_suspects(self, reading):
         if reading is not None and self._suspect_readers is not None:
             reading.suspects = self._suspect_readers.statement()
         return reading
 
+    async def _tell_far_readers(self):
+        """Tell the readers of other failure domains, if this is the first reader."""
+        if self._peers.is_reader() and self._peers.is_first_reader():
+            reading = self._with_suspects(self._table_follower.own_reading())
+            if reading is not None:
+                await self._peers.send_reading(reading)
+
+    async def _receive_far_reading(self, reading):
+        if reading.suspects is not None and self._suspect_readers is not None:
+            await self._suspect_readers.hear_far(reading.suspects)
+        await self._table_follower.hear_far(reading)
+
     async def _receive_reading(self, reading, sender):
         await self._table_follower.hear(reading, sender)
         if reading.suspects is not None and self._suspect_readers is not None:
--- a/siskinthread/gateway/_reader_lease.py
+++ b/siskinthread/gateway/_reader_lease.py
@@ -11,6 +11,34 @@
 from siskinthread.timing import Deadline
 
 
+def check_age_limit_s(peers, reader_count, interval_s, age_limit_s):
+    """Return the age at which a host checks whether it has read everything, seconds.
+
+    Parameters
+    ----------
+    peers : siskinthread.peer_news.PeerGossip or None
+        Determines the role of this host; None without other hosts.
+    reader_count : int
+        Number of readers of each failure domain.
+    interval_s : float
+        Interval of the checks by the first reader of all failure domains, seconds.
+    age_limit_s : float
+        Age at which hosts check that are not readers, seconds.
+
+    Notes
+    -----
+    The other readers check at the mean of both, so that they replace the first reader
+    before all hosts do.
+    """
+    if peers is None:
+        return interval_s
+    if not peers.is_table_reader(reader_count):
+        return age_limit_s
+    if peers.is_reader() and peers.is_first_reader():
+        return interval_s
+    return (interval_s + age_limit_s) / 2
+
+
 class ReadingOutcome(enum.Enum):
     """What a reading of a peer implies for this host."""
 
@@ -30,8 +58,8 @@
     settings : GatewaySettings
         Duration of the lease.
     age_limit_s : float
-        Longest time since the source answered a reader at which an announcement is
-        valid, seconds.
+        Longest time since the position of a reader was confirmed at which its
+        announcement is valid, seconds.
     clock : siskinthread.timing.Clock
         Clock for the lease.
     eras : siskinthread.source_eras.EraWatch
@@ -75,7 +103,7 @@
         Parameters
         ----------
         reading : object
-            Reader's ``position``, and time ``age_s`` since the source answered it.
+            Reader's ``position``, and time ``age_s`` since the source confirmed it.
         sender : siskinthread.settings.Address
             Address of the reader.
         position : siskinthread.source_eras.Position or None
@@ -85,15 +113,28 @@
         -------
         ReadingOutcome
         """
-        if position is None or not self._is_valid_reading(reading, position):
-            return ReadingOutcome.IGNORED
+        outcome = self.compare(reading, position)
+        if outcome is ReadingOutcome.IGNORED:
+            return outcome
         until = Deadline.after(self._clock, self._settings.table_word_s)
         self._heard_expiry = until
         if not self._trust_expiry.passed():
             self._trust_expiry = until
+        if outcome is ReadingOutcome.AHEAD:
+            self._readings_ahead[sender] = reading
+        return outcome
+
+    def compare(self, reading, position):
+        """Return what a reading of any peer implies for a position.
+
+        Returns
+        -------
+        ReadingOutcome
+        """
+        if position is None or not self._is_valid_reading(reading, position):
+            return ReadingOutcome.IGNORED
         if reading.position.offset == position.offset:
             return ReadingOutcome.CONFIRMED
-        self._readings_ahead[sender] = reading
         return ReadingOutcome.AHEAD
 
     def left_s(self):
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -566,17 +566,32 @@
     )
     table_wait_s = Item(
         float,
-        default=8.0,
+        default=24.0,
         minimum=0.0,
         description="Long-poll time-out of a read of the configuration. Each read is a "
-        "billed call; keep-alive probes detect a silent connection within 3 s.",
+        "billed call; the loss of such a read is noticed after `table_age_limit_s`.",
+    )
+    table_check_s = Item(
+        float,
+        default=1.0,
+        minimum=0.01,
+        description="Interval at which the first reader of all failure domains checks "
+        "whether the source has a newer configuration than its waiting read returned.",
+    )
+    table_age_limit_s = Item(
+        float,
+        default=1.5,
+        minimum=0.01,
+        description="Age of a host's configuration, as confirmed by an own read or by "
+        "a peer, at which the host asks the source. Changes must be in force within "
+        "2 s.",
     )
     table_fresh_s = Item(
         float,
         default=1.5,
         minimum=0.0,
-        description="Additional time, beyond table_wait_s, after which this entry "
-        "considers its configuration stale.",
+        description="Additional time, beyond `table_age_limit_s`, after which this "
+        "entry considers its configuration stale.",
     )
     table_readers_per_domain = Item(
         int,
--- a/siskinthread/gateway/_suspect_readers.py
+++ b/siskinthread/gateway/_suspect_readers.py
@@ -2,12 +2,13 @@
 
 import curio
 
-from siskinthread.gateway._reader_lease import ReaderLease, ReadingOutcome
+from siskinthread.gateway._reader_lease import (
+    check_age_limit_s,
+    ReaderLease,
+    ReadingOutcome,
+)
 from siskinthread.peer_news import SuspectsReading
 
-# Longest duration of a read beyond its long-poll time-out, seconds.
-READ_MARGIN_S = 1.5
-
 
 class SuspectReaders:
     """Hosts that read the stored suspected requests on behalf of others.
@@ -28,6 +29,14 @@
     clock : siskinthread.timing.Clock
         Clock for ages and deadlines.
 
+    Attributes
+    ----------
+    confirmation : siskinthread.source_eras.PositionConfirmation or None
+        Is told what readers announce; see `PoisonFollower`.
+    tell_far : callable or None
+        Coroutine function that is called after each check of this host, to tell the
+        readers of other failure domains.
+
     Notes
     -----
     Unlike the lease for the configuration, an expired lease is renewed by announcements
@@ -44,6 +53,8 @@
         "_settings",
         "_announced",
         "_lease",
+        "confirmation",
+        "tell_far",
     )
 
     def __init__(self, settings, eras, peers, companion, clock):
@@ -53,11 +64,13 @@
         self._peers = peers
         self._clock = clock
         self._lease = ReaderLease(
-            settings, settings.poison.store_wait_s + READ_MARGIN_S, clock, eras
+            settings, settings.poison.store_age_limit_s, clock, eras
         )
-        # Position up to which this host knows the contents of the store, and time of
-        # the store's last answer, monotonic seconds; the time is None if there was none
-        # since this host last skipped a read.
+        self.confirmation = None
+        self.tell_far = None
+        # Position up to which this host knows the contents of the store, and when the
+        # store last held nothing after it, monotonic seconds; the time is None if the
+        # store has not answered since this host last skipped a read.
         self._position = None
         self._answered_at_s = None
         self._announced = curio.Event()
@@ -68,6 +81,12 @@
         self._position = position
         self._answered_at_s = self._clock.monotonic_s()
 
+    async def note_check(self, position):
+        """Note that the store holds nothing after a position."""
+        self.note_read(position)
+        if self.tell_far is not None:
+            await self.tell_far()
+
     def note_lost(self):
         """Note that the store does not answer, or no longer knows the position."""
         self._position = None
@@ -85,8 +104,37 @@
     async def hear(self, reading, sender):
         """Process the `SuspectsReading` of a reader at an address."""
         self._lease.note_own_read()
-        if self._lease.hear(reading, sender, self._position) is ReadingOutcome.AHEAD:
+        outcome = self._lease.hear(reading, sender, self._position)
+        if outcome is ReadingOutcome.AHEAD:
             await self._announced.set()
+        await self._apply_outcome(outcome, reading)
+
+    async def hear_far(self, reading):
+        """Process the `SuspectsReading` of the first reader of all failure domains."""
+        outcome = self._lease.compare(reading, self._position)
+        if outcome is ReadingOutcome.CONFIRMED and self._answered_at_s is not None:
+            # The next announcement in the own failure domain passes it on.
+            answered_at_s = self._clock.monotonic_s() - reading.age_s
+            self._answered_at_s = max(self._answered_at_s, answered_at_s)
+        await self._apply_outcome(outcome, reading)
+
+    async def _apply_outcome(self, outcome, reading):
+        if self.confirmation is None:
+            return
+        if outcome is ReadingOutcome.CONFIRMED:
+            self.confirmation.note(reading.age_s)
+        elif outcome is ReadingOutcome.AHEAD:
+            await self.confirmation.hasten()
+
+    def check_age_limit_s(self):
+        """Return the age at which this host checks the stored requests, seconds."""
+        poison = self._settings.poison
+        return check_age_limit_s(
+            self._peers,
+            self._settings.table_readers_per_domain,
+            poison.store_check_s,
+            poison.store_age_limit_s,
+        )
 
     async def wait_for_readers(self):
         """Wait if this host may skip a read; return whether it may."""
--- a/siskinthread/gateway/_table_following.py
+++ b/siskinthread/gateway/_table_following.py
@@ -4,6 +4,11 @@
 position up to which they have read.  The other hosts fetch changes from a reader, or
 read the source themselves if no reader serves them.  `ReaderLease` determines when a
 host may rely on readers.
+
+A read that waits for changes may be lost without a sign.  So the first reader of all
+failure domains checks regularly whether the source has anything after its position, and
+tells the readers of the other domains.  A host whose position was not confirmed for
+``table_age_limit_s``, by its own checks or by a peer's, asks the source itself.
 """
 
 import curio
@@ -14,9 +19,14 @@
     SourceRestoredError,
 )
 from siskinthread.gateway._dependency import Dependency
-from siskinthread.gateway._reader_lease import ReaderLease, ReadingOutcome
+from siskinthread.gateway._reader_lease import (
+    check_age_limit_s,
+    ReaderLease,
+    ReadingOutcome,
+)
 from siskinthread.observability import part_logger
 from siskinthread.peer_news import EvacuationStatement, TableReading
+from siskinthread.source_eras import PositionConfirmation
 
 _logger = part_logger("gateway")
 
@@ -33,7 +43,9 @@
         also `PositionExpiredError`.  The attribute ``evacuations`` has the failure
         domains evacuated at the last position, ``domains``, and those whose evacuation
         was taken back in the last read, ``taken_back``.  ``take_told(told)`` applies a
-        `ServedTable` as if it had been read.
+        `ServedTable` as if it had been read.  The follower sets ``confirmation``, a
+        `PositionConfirmation`; while a read waits, the source is checked whenever it is
+        due.
     view : TableView
         Where tables come into force.
     settings : GatewaySettings
@@ -59,10 +71,14 @@
         ``async fetch_served(address)`` returns the `ServedTable` of a reader; raises
         `PlatformUnavailableError`.  If None, this host reads announced changes from
         the source.
+    tell_far : callable or None
+        Coroutine function that is called after each answer of the source, to tell the
+        readers of other failure domains.
     """
 
     __slots__ = (
         "_clock",
+        "_confirmation",
         "_eras",
         "_has_answer",
         "_is_asked_again",
@@ -80,6 +96,7 @@
         "evacuations",
         "fetch_served",
         "peers",
+        "tell_far",
     )
 
     def __init__(self, source, view, settings, clock, random):
@@ -104,7 +121,13 @@
         self.companion = None
         self.peers = None
         self.fetch_served = None
+        self.tell_far = None
         self.dependency = Dependency("published configuration", clock)
+        self._confirmation = PositionConfirmation(
+            clock, self._check_age_limit_s, settings.table_age_limit_s
+        )
+        self._confirmation.on_check = self._note_check
+        source.confirmation = self._confirmation
 
     async def run(self):
         """Follow the source until cancelled."""
@@ -122,6 +145,7 @@
                 await self._note_failure(outcome)
                 continue
             self.dependency.answered()
+            self._confirmation.note_own()
             self._is_asked_again = False
             for table in outcome:
                 self._put_in_force(table)
@@ -154,7 +178,7 @@
         self._eras = eras
         settings = self._settings
         if settings.table_readers_per_domain > 0:
-            age_limit_s = settings.table_wait_s + settings.table_fresh_s
+            age_limit_s = settings.table_age_limit_s
             self._lease = ReaderLease(settings, age_limit_s, self._clock, eras)
         eras.listen(self._announced.set)
 
@@ -165,12 +189,17 @@
 
     def statement(self):
         """Return the `TableReading` that this host announces as a reader, or None."""
-        is_reading = self._has_answer and self.position() is not None
-        if self._lease is None or not is_reading or not self._reads_for_others():
+        if self._lease is None or not self._reads_for_others():
+            return None
+        return self.own_reading()
+
+    def own_reading(self):
+        """Return the `TableReading` of this host's own reads, or None."""
+        if not self._has_answer or self.position() is None:
             return None
         table = self._view.table
         version = 0 if table is None else table.version
-        return TableReading(self._position, version, self.dependency.age_s())
+        return TableReading(self._position, version, self._confirmation.age_s())
 
     async def hear(self, reading, sender):
         """Process the announcement of a reader of the same failure domain.
@@ -178,8 +207,7 @@
         Parameters
         ----------
         reading : siskinthread.peer_news.TableReading
-            Position that the reader has read up to, and age of the source's last
-            answer.
+            Position that the reader has read up to, and time since it was confirmed.
         sender : siskinthread.settings.Address
             Address of the reader.
         """
@@ -187,11 +215,27 @@
             return
         await self._eras.note(reading.position.era, told_by="peer")
         outcome = self._lease.hear(reading, sender, self._position)
+        if outcome is ReadingOutcome.AHEAD:
+            self._apply_evacuations(sender)
+            await self._announced.set()
+        await self._apply_outcome(outcome, reading)
+
+    async def hear_far(self, reading):
+        """Process the `TableReading` of the first reader of all failure domains."""
+        if self._lease is None:
+            return
+        await self._eras.note(reading.position.era, told_by="peer")
+        outcome = self._lease.compare(reading, self._position)
+        await self._apply_outcome(outcome, reading)
+        if outcome is ReadingOutcome.CONFIRMED and self.statement() is not None:
+            await self.peers.send_to_domain()
+
+    async def _apply_outcome(self, outcome, reading):
         if outcome is ReadingOutcome.CONFIRMED:
             self.dependency.confirmed(reading.age_s)
+            self._confirmation.note(reading.age_s)
         elif outcome is ReadingOutcome.AHEAD:
-            self._apply_evacuations(sender)
-            await self._announced.set()
+            await self._confirmation.hasten()
 
     def _apply_evacuations(self, sender):
         """Apply the evacuations in a reader's datagram before the configuration.
@@ -208,12 +252,32 @@
             self._lease is not None
             and self._position is not None
             and self._lease.left_s() > 0
+            and self._confirmed_left_s() > 0
             and not self._is_asked_again
             and not self.dependency.is_lost
             and not self._is_era_over()
             and not self._is_reader()
         )
 
+    def _confirmed_left_s(self):
+        """Return how long this host may still rely on its position, seconds."""
+        age_s = self._confirmation.age_s()
+        return 0.0 if age_s is None else self._settings.table_age_limit_s - age_s
+
+    def _check_age_limit_s(self):
+        settings = self._settings
+        return check_age_limit_s(
+            self.peers,
+            settings.table_readers_per_domain,
+            settings.table_check_s,
+            settings.table_age_limit_s,
+        )
+
+    async def _note_check(self):
+        """Note that the source holds nothing after the position of this host."""
+        self.dependency.answered()
+        await self._note_own_read()
+
     def _awaits_companion(self):
         """Return whether an own read is postponed because the companion is in outage.
 
@@ -255,6 +319,8 @@
         self._lease.note_own_read()
         if self.statement() is not None:
             await self.peers.send_to_domain()
+        if self.tell_far is not None:
+            await self.tell_far()
 
     async def _follow_readers(self):
         """Wait for readers or fetch changes from one; return whether no read is due."""
@@ -271,7 +337,8 @@
         if self._lease.ahead(self._position):
             return await self._fetch_from_reader()
         self._announced.clear()
-        await curio.ignore_after(self._lease.left_s(), self._announced.wait)
+        left_s = min(self._lease.left_s(), max(0.0, self._confirmed_left_s()))
+        await curio.ignore_after(left_s, self._announced.wait)
         return True
 
     async def _fetch_from_reader(self):
@@ -311,6 +378,7 @@
         self._position = served.position
         self._source.take_told(served)
         self.dependency.confirmed(reading.age_s)
+        self._confirmation.note_own(reading.age_s)
         if self.evacuations is not None:
             # Applied before the table, as in own reads.
             statement = EvacuationStatement(served.position, served.evacuated)
@@ -321,12 +389,11 @@
     async def _note_failure(self, error):
         if isinstance(error, PlatformUnavailableError):
             self.dependency.failed(error)
-            # If the companion polls the source, its calls are enough to notice that
-            # the source is back.
-            is_awaited = self.companion is not None and self.companion.is_lost
             is_first = self.peers is None or self.peers.is_first_of_domain()
-            is_first = is_first and not is_awaited
             wait_s = self.dependency.retry_wait_s(self._settings, is_first)
+            if self.companion is not None and self.companion.is_lost:
+                # The calls of the companion notice that the source is back.
+                wait_s = self._settings.table_wait_s
             self._woken.clear()
             await curio.ignore_after(wait_s, self._woken.wait)
             return
--- a/siskinthread/peer_news/_peers.py
+++ b/siskinthread/peer_news/_peers.py
@@ -17,6 +17,11 @@
     OUTAGES_PREFIX,
 )
 from siskinthread.peer_news._peer_view import PeerView
+from siskinthread.peer_news._reading_message import (
+    decode_reading_message,
+    encode_reading_message,
+    READING_PREFIX,
+)
 from siskinthread.settings import Address
 from siskinthread.timing import Deadline
 
@@ -52,6 +57,9 @@
     on_far_listing : callable or None
         Coroutine function that is called with each `ListStatement` that a reader of
         another failure domain sends at once, and with the address of the reader.
+    on_far_reading : callable or None
+        Coroutine function that is called with each `TableReading` of the first reader
+        of all failure domains.
     on_reading : callable or None
         Coroutine function that is called with each `TableReading` of a peer of the own
         failure domain, and the peer's address.
@@ -94,6 +102,7 @@
         "on_evacuations",
         "on_cold",
         "on_far_listing",
+        "on_far_reading",
         "on_leaving",
         "on_listing",
         "on_backoffs",
@@ -117,6 +126,7 @@
         self._reading_deadline = Deadline.after(clock, 0.0)
         self.on_listing = None
         self.on_far_listing = None
+        self.on_far_reading = None
         self.on_reading = None
         self.on_backoffs = None
         self.on_leaving = None
@@ -149,6 +159,11 @@
             data = encode_listing_message(listing)
             await self._send_data(self.far_readers(), data)
 
+    async def send_reading(self, reading):
+        """Send a `TableReading` to the reader of each other failure domain."""
+        if self._socket is not None:
+            await self._send_data(self.far_readers(), encode_reading_message(reading))
+
     async def tell_outages(self, statements):
         """Send group states to all hosts at once, in a datagram of their own.
 
@@ -189,6 +204,9 @@
                 if data.startswith(LISTING_PREFIX):
                     await self._handle_listing_message(data, source)
                     continue
+                if data.startswith(READING_PREFIX):
+                    await self._handle_reading_message(data)
+                    continue
                 message = PeerMessage.decode(data)
                 self._receive(message)
                 await self._forward_sum(message, data, source)
@@ -229,6 +247,11 @@
         if self.on_far_listing is not None:
             await self.on_far_listing(listing, Address(*source))
 
+    async def _handle_reading_message(self, data):
+        reading = decode_reading_message(data)
+        if self.on_far_reading is not None:
+            await self.on_far_reading(reading)
+
     async def _dispatch_listing(self, listing):
         if listing is not None and self.on_listing is not None:
             await self.on_listing(listing)
--- a/siskinthread/peer_news/_table_reading.py
+++ b/siskinthread/peer_news/_table_reading.py
@@ -15,7 +15,7 @@
     position : siskinthread.source_eras.Position
         Position up to which it has read.
     age_s : float
-        Time since the last answer of the store, seconds.
+        Time since the store last held nothing after it, seconds.
     """
 
     __slots__ = ("age_s", "position")
@@ -31,11 +31,11 @@
     Parameters
     ----------
     position : siskinthread.source_eras.Position
-        Position up to which it has read; it waits for the records after it.
+        Position up to which it has read.
     version : int
         Version of the configuration in force there; 0 without one.
     age_s : float
-        Time since the last answer of the source, seconds.
+        Time since the source last held nothing after the position, seconds.
     suspects : SuspectsReading or None
         Its progress in the suspected requests, in the same era.
     """
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -37,15 +37,18 @@
         Its version; 0 without one.
     evacuations : EvacuationRecords
         Evacuated failure domains up to the last read position.
+    confirmation : siskinthread.source_eras.PositionConfirmation or None
+        When a read that waits must be checked; see `StoreClient.read_changes`.
     """
 
-    __slots__ = ("_store", "evacuations", "newest", "newest_version")
+    __slots__ = ("_store", "confirmation", "evacuations", "newest", "newest_version")
 
     def __init__(self, store):
         self._store = store
         self.newest = None
         self.newest_version = 0
         self.evacuations = EvacuationRecords()
+        self.confirmation = None
 
     async def read_newest(self):
         """Return the newest readable table, or None, and a position."""
@@ -57,7 +60,7 @@
     async def read_changes(self, position, wait_s):
         """Return the tables after a position, oldest first, and the next position."""
         records, position = await self._store.read_changes(
-            CONFIGURATION_TOPIC, position, wait_s
+            CONFIGURATION_TOPIC, position, wait_s, self.confirmation
         )
         self.evacuations.apply_changes(records)
         return self.apply(records), position
--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -19,11 +19,12 @@
     decode_record,
     decoded_only,
     frame_record,
+    NO_RECORDS_BYTES,
     read_end,
     split_records,
 )
 from siskinthread.shared_services import HttpClient, parse_json
-from siskinthread.source_eras import Position
+from siskinthread.source_eras import FAILED_CHECK_INTERVAL_S, Position
 from siskinthread.timing import SYSTEM_CLOCK
 
 SERVICE = "platform store"
@@ -228,7 +229,7 @@
         target = "/siskinthread/log-leave"
         await self._call("leave", "POST", target, content, [JSON_HEADER])
 
-    async def read_changes(self, topic, position, wait_s=0.0):
+    async def read_changes(self, topic, position, wait_s=0.0, confirmation=None):
         """Return all records from a position on, and the position after them.
 
         An answer holds at most 1 MB.  The targets of a large fleet write more while a
@@ -243,6 +244,9 @@
             Position from an earlier call.
         wait_s : float
             How long the store may wait for a record if there is none, seconds.
+        confirmation : siskinthread.source_eras.PositionConfirmation or None
+            While the store waits, it is asked again whenever this is due; None if the
+            loss of a read that waits may go unnoticed until its time-out.
 
         Returns
         -------
@@ -260,13 +264,15 @@
         """
         records = []
         while True:
-            read, position, end = await self._read_batch(topic, position, wait_s)
+            read, position, end = await self._read_batch(
+                topic, position, wait_s, confirmation
+            )
             records += read
             if not read or position.offset >= end:
                 return decoded_only(records, topic), position
             wait_s = 0.0
 
-    async def _read_batch(self, topic, position, wait_s):
+    async def _read_batch(self, topic, position, wait_s, confirmation):
         """Return the records of one answer, the position after them, and the end."""
         self._check_era(position)
         target = (
@@ -275,13 +281,14 @@
         )
         try:
             if wait_s:
-                target += f"&wait_ms={round(wait_s * MILLISECONDS_PER_SECOND)}"
-                answer = await self._call_waiting("read", target, wait_s)
+                answer = await self._call_waiting(
+                    target, wait_s, position, confirmation
+                )
             else:
                 answer = await self._call("read", "GET", target)
         except PlatformRefusedError as error:
             self._check_era(position)
-            if error.status == STATUS_GONE:
+            if _is_gone(error):
                 raise PositionExpiredError(str(error)) from error
             raise
         self._check_era(position)
@@ -312,14 +319,14 @@
             raise PlatformRefusedError(text, answer.status)
         return _StoreAnswer(answer.body, self.eras.newest)
 
-    async def _call_waiting(self, name, target, wait_s):
+    async def _call_waiting(self, target, wait_s, position, confirmation):
         """Return the answer to a read that waits, unless an era begins meanwhile.
 
         Such a read may never be answered, as the records before its position are gone.
         """
         began_s = SYSTEM_CLOCK.monotonic_s()
         calling = await curio.spawn(
-            self._answer_or_error, name, target, wait_s, daemon=True
+            self._first_answer, target, wait_s, position, confirmation, daemon=True
         )
         self._waiting_reads.add(calling)
         ended_by = "cancellation"
@@ -344,8 +351,40 @@
             raise outcome
         return outcome
 
-    async def _answer_or_error(self, name, target, wait_s):
-        """Return the answer to a read that waits, or the error as a value."""
+    async def _first_answer(self, target, wait_s, position, confirmation):
+        """Return the answer to a read that waits, or to a check that comes first."""
+        waiting = f"{target}&wait_ms={round(wait_s * MILLISECONDS_PER_SECOND)}"
+        if confirmation is None:
+            return await self._answer_or_error("read", waiting, wait_s)
+        async with curio.TaskGroup(wait=any) as calls:
+            await calls.spawn(self._answer_or_error, "read", waiting, wait_s)
+            await calls.spawn(self._check_for_records, target, position, confirmation)
+        return calls.result
+
+    async def _check_for_records(self, target, position, confirmation):
+        """Check whenever a confirmation is due; return the first answer with records.
+
+        Also returned are answers of another era than that of the position, and errors
+        that end the read.
+        """
+        while True:
+            await confirmation.wait_until_due()
+            began_s = SYSTEM_CLOCK.monotonic_s()
+            answer = await self._answer_or_error("check", target)
+            if isinstance(answer, PlatformUnavailableError):
+                if _is_gone(answer) or confirmation.is_lost_by_failure():
+                    return answer
+                await curio.sleep(FAILED_CHECK_INTERVAL_S)
+                continue
+            if answer.era != position.era:
+                return answer
+            if len(answer.body) != NO_RECORDS_BYTES:
+                _logger.event("waiting read is lost", read=target)
+                return answer
+            await confirmation.note_check(SYSTEM_CLOCK.monotonic_s() - began_s)
+
+    async def _answer_or_error(self, name, target, wait_s=0.0):
+        """Return the answer to a read, or the error as a value."""
         try:
             return await self._call(name, "GET", target, extra_wait_s=wait_s)
         except PlatformUnavailableError as error:
@@ -353,8 +392,11 @@
 
     async def _cancel_waiting_reads(self):
         current = await curio.current_task()
-        for calling in self._waiting_reads - {current}:
-            await calling.cancel(blocking=False)
+        own_ids = {current.id, current.parentid}
+        for calling in list(self._waiting_reads):
+            # A read whose own answer reports the era finds that itself.
+            if calling.id not in own_ids:
+                await calling.cancel(blocking=False)
 
     def _check_era(self, position):
         if self.eras.is_over(position.era):
@@ -362,5 +404,10 @@
             raise SourceRestoredError(text)
 
 
+def _is_gone(error):
+    """Return whether an error says that the records at a position were dropped."""
+    return isinstance(error, PlatformRefusedError) and error.status == STATUS_GONE
+
+
 def _unreadable(error):
     return PlatformUnavailableError(f"{SERVICE}: unreadable answer: {error!r}")
--- a/siskinthread/platform/_store_records.py
+++ b/siskinthread/platform/_store_records.py
@@ -6,6 +6,8 @@
 
 OFFSET_BYTES = 8
 LENGTH_BYTES = 4
+# Length of an answer to a read that holds the two offsets only.
+NO_RECORDS_BYTES = 2 * OFFSET_BYTES
 
 _logger = part_logger("platform")
 
@@ -62,7 +64,7 @@
 def split_records(body):
     """Return the records after the two offsets at the start of an answer."""
     records = []
-    at = 2 * OFFSET_BYTES
+    at = NO_RECORDS_BYTES
     if len(body) < at:
         raise ValueError("answer is shorter than its two offsets")
     while at < len(body):
--- a/siskinthread/platform/_stored_suspects.py
+++ b/siskinthread/platform/_stored_suspects.py
@@ -28,12 +28,13 @@
         acceptable as records count for minutes.
     """
 
-    __slots__ = ("_clock", "_position", "_store")
+    __slots__ = ("_clock", "_position", "_store", "confirmation")
 
     def __init__(self, store, clock):
         self._store = store
         self._clock = clock
         self._position = None
+        self.confirmation = None
 
     async def read_all(self):
         """Return every `StoredChange` and a position."""
@@ -42,7 +43,9 @@
 
     async def read_changes(self, position, wait_s):
         """Return each `StoredChange` after a position, and the next position."""
-        records, position = await self._store.read_changes(TOPIC, position, wait_s)
+        records, position = await self._store.read_changes(
+            TOPIC, position, wait_s, self.confirmation
+        )
         return self._decode_records(records), position
 
     def write_at(self, position):
--- a/siskinthread/poison_requests/_following.py
+++ b/siskinthread/poison_requests/_following.py
@@ -18,6 +18,7 @@
     SourceRestoredError,
 )
 from siskinthread.observability import part_logger
+from siskinthread.source_eras import PositionConfirmation
 from siskinthread.timing import Deadline
 
 _logger = part_logger("poison_requests")
@@ -34,7 +35,9 @@
         ``async read_all()`` returns `StoredChange` objects and a position; ``async
         read_changes(position, wait_s)`` those behind it and the next position;
         ``write_at(position)`` makes later writes fail if there are changes behind that
-        position; ``async write(changes)`` writes changes.  All calls raise
+        position; ``async write(changes)`` writes changes.  The follower sets
+        ``confirmation``; while a read waits, the source is checked when it is due.
+        All calls raise
         `PlatformUnavailableError`, ``read_changes`` also `PositionExpiredError`,
         ``write`` both and `RecordsUnreadError`.
     register : PoisonRegister
@@ -51,8 +54,11 @@
     readers : object or None
         Other hosts that may read for this one: ``async wait_for_readers()`` waits and
         returns True while they do, ``note_read(position)`` and ``note_lost()`` get the
-        result of a read, ``must_read_at_once()`` tells whether others wait for that
-        result.
+        result of a read and ``note_check(position)`` that of a check,
+        ``must_read_at_once()`` tells whether others wait for that
+        result, ``check_age_limit_s()`` after which age the source must be checked.
+    confirmation : siskinthread.source_eras.PositionConfirmation
+        How long ago the source held nothing after the position of this host.
     """
 
     __slots__ = (
@@ -65,6 +71,7 @@
         "_turns",
         "_is_loaded",
         "_write_turn",
+        "confirmation",
         "readers",
     )
 
@@ -82,6 +89,9 @@
         self._is_loaded = curio.Event()
         self._is_unavailable = False
         self.readers = None
+        self.confirmation = PositionConfirmation(clock, self._check_age_limit_s)
+        self.confirmation.on_check = self._note_check
+        source.confirmation = self.confirmation
 
     async def read(self):
         """Read changes of the store, indefinitely."""
@@ -213,10 +223,21 @@
         if self._position is None or self._position.is_behind(position):
             self._position = position
             self._source.write_at(position)
+        self.confirmation.note_own()
         if self.readers is not None:
             self.readers.note_read(self._position)
         await self._is_loaded.set()
 
+    async def _note_check(self):
+        """Note that the source holds nothing after the position of this host."""
+        if self.readers is not None:
+            await self.readers.note_check(self._position)
+
+    def _check_age_limit_s(self):
+        if self.readers is None:
+            return self._settings.store_check_s
+        return self.readers.check_age_limit_s()
+
     async def _apply(self, change):
         if change.statement is None:
             await self._register.note_dropped(change.fingerprint, STORE_SOURCE)
--- a/siskinthread/poison_requests/_settings.py
+++ b/siskinthread/poison_requests/_settings.py
@@ -214,6 +214,20 @@
         description="How long a read of the store may wait for a change. Each read "
         "costs one call; the store allows 30 s.",
     )
+    store_check_s = Item(
+        float,
+        default=1.5,
+        minimum=0.01,
+        description="Interval at which one entry checks whether the store has more "
+        "than its waiting read returned.",
+    )
+    store_age_limit_s = Item(
+        float,
+        default=2.5,
+        minimum=0.01,
+        description="Age of what an entry knows of the store at which it asks the "
+        "store. Requests must be limited 3 s after a crash.",
+    )
     store_retry_s = Item(
         float,
         default=4.0,
