Let the scripted peers of tests take the readings for far readers

Cause: the gateway now tells the readers of other failure domains of its checks, and the scripted peers, which act as the first reader, had no such method. Change: they send nothing, as for the other messages. Result: test_path.py, test_decoding.py and test_process.py pass.

--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -127,6 +127,9 @@
     async def send_listing(self, listing):
         """Send nothing."""
 
+    async def send_reading(self, reading):
+        """Send nothing."""
+
     async def send_to_domain(self):
         """Send nothing."""
 
