Accept no key where the configuration lists no account

Cause: an empty 'tenants' was decoded as a missing one, with which requests need no key. Keys of other types counted: null was the key of each request without one, and of a string in place of the list each letter was a key. An account without keys made the whole version unreadable, so that keys that it took away stayed valid. Evidence: the version was in force, and requests with a foreign key had no account in the log; the version before had refused it with 401. 'configuration in force' now states the number of keys. Change: the presence of the field decides whether requests need a key; a malformed account or key is accepted from nobody and counted in the log, and the rest comes into force.

--- a/siskinthread/gateway/_table_following.py
+++ b/siskinthread/gateway/_table_following.py
@@ -451,9 +451,11 @@
                 in_force=before.version,
             )
         if self._view.advance(table):
+            accounts = table.accounts_by_key
             _logger.event(
                 "configuration in force",
                 version=table.version,
+                keys=None if accounts is None else len(accounts),
                 before=None if before is None else before.version,
                 told_by=told_by,
             )
--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -1,4 +1,8 @@
-"""The operators' document, decoded to a route table."""
+"""The operators' document, decoded to a route table.
+
+What is malformed grants nothing: with ``tenants`` of any value requests need a key, and
+only readable keys of named accounts are accepted.
+"""
 
 import math
 
@@ -14,11 +18,15 @@
 )
 from siskinthread.group_maps import ExpertLayout, PassModel
 from siskinthread.load_control import TokenModel
+from siskinthread.observability import part_logger
 
 MILLISECONDS_PER_SECOND = 1000
 BITS_PER_BYTE = 8
 STREAMING = "streaming"
 SAFE = "safe"
+ACCOUNTS = "tenants"
+
+_logger = part_logger("platform")
 
 
 def read_route_table(key, document):
@@ -42,7 +50,7 @@
             int(document["version"]),
             [_read_route(route) for route in document["routes"]],
             [_read_service(service, limits_s) for service in document["services"]],
-            _read_accounts(document.get("tenants")),
+            _read_accounts(document),
             _read_limits(document.get("limits")),
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
@@ -159,14 +167,39 @@
     )
 
 
-def _read_accounts(tenants):
-    if not tenants:
+def _read_accounts(document):
+    """Return each `Account` by API key; None if requests need no key."""
+    if ACCOUNTS not in document:
         return None
-    return {
-        key: Account(tenant["name"], tenant.get("priority"))
-        for tenant in tenants
-        for key in tenant["api_keys"]
-    }
+    tenants = document[ACCOUNTS]
+    accounts = {}
+    ignored_count = 0
+    for tenant in tenants if isinstance(tenants, list) else [tenants]:
+        account, keys = _read_account(tenant)
+        if account is None:
+            ignored_count += 1
+            continue
+        readable = [key for key in keys if isinstance(key, str) and key]
+        ignored_count += len(keys) - len(readable)
+        accounts |= dict.fromkeys(readable, account)
+    if ignored_count:
+        _logger.event(
+            "client accounts or keys are unreadable and accepted from nobody",
+            version=document["version"],
+            count=ignored_count,
+        )
+    return accounts
+
+
+def _read_account(tenant):
+    """Return an `Account` and the list of its keys; None and no keys if unreadable."""
+    if not isinstance(tenant, dict):
+        return None, []
+    name, keys = tenant.get("name"), tenant.get("api_keys")
+    if not (isinstance(name, str) and name and isinstance(keys, list)):
+        return None, []
+    priority = tenant.get("priority")
+    return Account(name, priority if type(priority) is int else None), keys
 
 
 def _read_limits(limits):
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -120,6 +120,29 @@
     assert table.find_route(values["host"], "/x/y").kind is kind
 
 
+def test_keys_of_an_account_are_accepted_beside_a_malformed_account():
+    """Guards against a key that is refused because another account is malformed."""
+    tenants = [
+        {"name": "broken"},
+        {"name": "b", "api_keys": [5, "good", None], "priority": "high"},
+        "abc",
+    ]
+    table = read_route_table("config", published(tenants=tenants))
+    assert list(table.accounts_by_key) == ["good"]
+    account = table.accounts_by_key["good"]
+    assert (account.name, account.priority) == ("b", None)
+
+
+@given(JSON_VALUES)
+def test_only_a_configuration_without_accounts_needs_no_keys(tenants):
+    """Guards against any value of the field that accepts requests without a key."""
+    table = read_route_table("config", published(tenants=tenants))
+    assert all(isinstance(one, str) and one for one in table.accounts_by_key)
+    document = published()
+    del document["tenants"]
+    assert read_route_table("config", document).accounts_by_key is None
+
+
 @given(JSON_VALUES)
 def test_any_document_is_a_table_or_an_error(document):
     """No document of an operator ends the process."""
--- a/siskinthread/platform/tests/test_path.py
+++ b/siskinthread/platform/tests/test_path.py
@@ -130,6 +130,55 @@
     assert run_system(test) == (200, 401, 5)
 
 
+def accounts_with(keys):
+    """Return the accounts of a configuration, of which one has certain keys."""
+    return [{"name": "hule930", "api_keys": keys, "priority": 1}]
+
+
+@pytest.mark.parametrize("is_running", [True, False], ids=["running", "started"])
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [],
+        {},
+        None,
+        "",
+        0,
+        False,
+        accounts_with([]),
+        accounts_with("abc"),
+        accounts_with([""]),
+        accounts_with([None]),
+        accounts_with(None),
+        [{"name": "hule930"}],
+        [{"name": None, "api_keys": [KEY]}],
+        [{"api_keys": [KEY]}],
+        [KEY],
+        KEY,
+    ],
+    ids=repr,
+)
+def test_accounts_without_a_readable_key_accept_no_request(tenants, is_running):
+    """Guards against requests without a valid key once the last key is taken away.
+
+    An empty or malformed field counted as a missing one, with which no key is needed.
+    """
+
+    async def test(system):
+        if is_running:
+            await system.store.put("keyed.op", "config", published(2, tenants=tenants))
+            await until(lambda: system.gateway.view.table.version == 2)
+        statuses = [
+            status_of(await system.request(SAFE_PATH, key=key))
+            for key in (KEY, "foreign", None, "", "a")
+        ]
+        public = status_of(await system.request("/public/x", key=None))
+        return statuses, public
+
+    document = None if is_running else published(1, tenants=tenants)
+    assert run_system(test, document=document) == ([401] * 5, 200)
+
+
 def test_unreadable_configuration_is_ignored():
     """The configuration in force stays, and the process goes on."""
 
