Take only true as a flag of a route

Cause: 'public' and 'resumable' of a route were true for any value that is not empty. With "false" a route needed no key, and a stream that must run once could be started twice. Change: only the JSON value true sets them. Result: of the new cases five for 'public' and three for 'resumable' failed before; all pass.

--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -67,7 +67,7 @@
         attempt_limit=int(route.get("attempts", 1)),
         wait_limit_s=route["timeout_ms"] / MILLISECONDS_PER_SECOND,
         priority=int(route.get("priority", 0)),
-        is_public=bool(route.get("public", False)),
+        is_public=route.get("public") is True,
         objective_s=_seconds(route.get("target_latency_ms")),
         pause_limit_s=_seconds(route.get("target_gap_ms")),
     )
@@ -80,7 +80,7 @@
 def _read_kind(route):
     kind = route["kind"]
     if kind == STREAMING:
-        if route.get("resumable", False):
+        if route.get("resumable") is True:
             return RequestKind.STREAM_RESUMABLE
         return RequestKind.STREAM_ONCE
     return RequestKind.IDEMPOTENT if kind == SAFE else RequestKind.ONCE
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -111,6 +111,10 @@
         ({"kind": "of the future"}, RequestKind.ONCE),
         ({"kind": "streaming"}, RequestKind.STREAM_ONCE),
         ({"kind": "streaming", "resumable": True}, RequestKind.STREAM_RESUMABLE),
+        ({"kind": "streaming", "resumable": "false"}, RequestKind.STREAM_ONCE),
+        ({"kind": "streaming", "resumable": [0]}, RequestKind.STREAM_ONCE),
+        ({"kind": "streaming", "resumable": 1}, RequestKind.STREAM_ONCE),
+        ({"kind": "streaming", "resumable": None}, RequestKind.STREAM_ONCE),
     ],
 )
 def test_what_may_be_repeated_follows_from_the_kind(fields, kind):
@@ -120,6 +124,14 @@
     assert table.find_route(values["host"], "/x/y").kind is kind
 
 
+@pytest.mark.parametrize("value", ["false", "true", "", 0, 1, [0], {"a": 1}, None])
+def test_malformed_flag_makes_no_route_public(value):
+    """Guards against requests without a key on a route that is not public."""
+    values = route("/x/", "safe", public=value)
+    table = read_route_table("config", published(routes=[values]))
+    assert not table.find_route(values["host"], "/x/y").is_public
+
+
 def test_keys_of_an_account_are_accepted_beside_a_malformed_account():
     """Guards against a key that is refused because another account is malformed."""
     tenants = [
