Refuse a configuration with malformed limits of cold targets

Cause: an empty value of another type ("", [], {}, false) of 'cold_start_s' or 'cold_per_s' counted as a missing one, so that cold targets had no limit; "2" and true were numbers. Change: only a missing value or null means that there is no rule.

--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -127,7 +127,9 @@
 
 def _non_negative(value):
     """Return a finite number from 0 on; 0 if there is none."""
-    number = float(value or 0.0)
+    if value is None:
+        return 0.0
+    number = math.nan if isinstance(value, bool | str) else float(value)
     if not 0 <= number < math.inf:
         raise ValueError(f"{value!r} is not a finite number from 0 on")
     return number
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -617,7 +617,9 @@
     assert (read.cold_start_s, read.cold_per_s) == expected
 
 
-@pytest.mark.parametrize("value", [-1, math.inf, math.nan, [1]])
+@pytest.mark.parametrize(
+    "value", [-1, math.inf, math.nan, [1], [], {}, "", "2", False, True]
+)
 def test_cold_start_that_is_no_number_refuses_the_document(value):
     """A quota of NaN would end the process."""
     service = {"name": "app", "cold_start_s": 4, "cold_per_s": value}
