Refuse settings whose internal ports or seeds are malformed

Cause: an empty list of internal ports counted as port 0, on which no peer finds this process, and seeds of another type ended the process with a trace. Change: both are refused with a message that names the field. Result: the five new cases of test_unusable_settings_are_explained pass.

--- a/siskinthread/platform/_host_settings.py
+++ b/siskinthread/platform/_host_settings.py
@@ -3,6 +3,7 @@
 import tomllib
 
 from siskinthread.errors import SettingsError
+from siskinthread.platform._server_entry import PORT_LIMIT
 from siskinthread.settings import Address
 
 SETTINGS_VARIABLE = "SISKINTHREAD_BOOT"
@@ -118,19 +119,19 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"{source_name}: {error}"]) from error
     reader = _FieldReader(document, source_name)
-    ports = reader.value("internal_ports", list) or [0]
+    peer_port = reader.first_port("internal_ports")
     host = reader.value("ip", str)
-    seeds = reader.value("seeds", list, required=False) or []
+    seeds = reader.texts("seeds")
     settings = HostSettings(
         # "node" is the platform's name of the machine, not of the process.
         host=reader.value("node", str),
         failure_domain=reader.value("zone", str),
         callers_listen=reader.address("listen.front", required=False),
         status_listen=reader.address("listen.ready", required=False),
-        peer_address=Address(host, ports[0]),
+        peer_address=Address(host, peer_port),
         # The ports of the seeds serve another purpose; internal ports are equal on all
         # hosts.
-        first_peers=[Address(seed.rpartition(":")[0], ports[0]) for seed in seeds],
+        first_peers=[Address(seed.rpartition(":")[0], peer_port) for seed in seeds],
         store=reader.address("platform.address"),
         share_count=reader.value("platform.parts", int),
         stop_limit_s=reader.value("bounds.grace_s", int, float),
@@ -200,6 +201,27 @@
             return None
         return value
 
+    def first_port(self, name):
+        """Return the first port of a range, or None."""
+        ports = self.value(name, list)
+        if ports is None:
+            return None
+        port = ports[0] if ports else None
+        if type(port) is not int or not 1 <= port <= PORT_LIMIT:
+            self._report(name, f"begins with no port: {ports!r}")
+            return None
+        return port
+
+    def texts(self, name):
+        """Return a list of strings; an empty one if there is none."""
+        values = self.value(name, list, required=False)
+        if values is None:
+            return []
+        if not all(isinstance(one, str) for one in values):
+            self._report(name, f"is no list of strings: {values!r}")
+            return []
+        return values
+
     def address(self, name, required=True):
         """Return an address, or None."""
         text = self.value(name, str, required=required)
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -90,6 +90,11 @@
 @pytest.mark.parametrize(
     ("old", "new", "message"),
     [
+        ("[7340, 7355]", "[]", "internal_ports begins with no port"),
+        ("[7340, 7355]", '["7340"]', "internal_ports begins with no port"),
+        ("[7340, 7355]", "[0, 5]", "internal_ports begins with no port"),
+        ("[7340, 7355]", "[true]", "internal_ports begins with no port"),
+        ("[7340, 7355]", "[7340]\nseeds = [5]", "seeds is no list of strings"),
         ('zone = "a"', "", "zone is missing"),
         ('zone = "a"', "zone = 5", "zone has the value 5"),
         ('"10.200.1.7:8223"', '"10.200.1.7"', "platform.address is no address"),
