Keep the growing waits of a reader while the target list is not answered

Change: the waits are those of before. Result: test_reader_backs_off_while_the_companion_is_in_outage failed with the former and passes.

--- a/siskinthread/gateway/_table_following.py
+++ b/siskinthread/gateway/_table_following.py
@@ -389,11 +389,12 @@
     async def _note_failure(self, error):
         if isinstance(error, PlatformUnavailableError):
             self.dependency.failed(error)
+            # If the companion polls the source, its calls are enough to notice that
+            # the source is back.
+            is_awaited = self.companion is not None and self.companion.is_lost
             is_first = self.peers is None or self.peers.is_first_of_domain()
+            is_first = is_first and not is_awaited
             wait_s = self.dependency.retry_wait_s(self._settings, is_first)
-            if self.companion is not None and self.companion.is_lost:
-                # The calls of the companion notice that the source is back.
-                wait_s = self._settings.table_wait_s
             self._woken.clear()
             await curio.ignore_after(wait_s, self._woken.wait)
             return
