Ignore reports of targets that the store carries out late

Cause: the store may carry out a write seconds after it was sent. A report of the server from before its leaving was carried out after the removal, and any report of an id that is not listed counted as a new target. A gateway whose list is confirmed by digests has read none of the reports, so the neighbour of the one that reads was affected alike. Ruled out: entries kept over an outage and lists of peers. Change: ReportOrder holds the newest report of each target, also after its removal. Late reports are left out where records are read, so that digests, served lists and chosen targets agree; readers tell the newest reports of removed targets with the list. Reports of later starts, of restarts without a stated start, higher and equal numbers are not late, and a restored store may hold older ones.

--- a/siskinthread/gateway/__init__.py
+++ b/siskinthread/gateway/__init__.py
@@ -8,6 +8,7 @@
 """
 
 from siskinthread.gateway._gateway import Gateway
+from siskinthread.gateway._report_order import ReportMark, ReportOrder
 from siskinthread.gateway._request import (
     AnswerFacts,
     LoadReport,
@@ -38,6 +39,8 @@
     "Gateway",
     "GatewaySettings",
     "LoadReport",
+    "ReportMark",
+    "ReportOrder",
     "RequestFacts",
     "RequestKind",
     "Route",
--- a/siskinthread/gateway/_served_reads.py
+++ b/siskinthread/gateway/_served_reads.py
@@ -42,11 +42,14 @@
         Time since that read began, seconds.
     entries : list of TargetEntry
         Complete list at the position.
+    gone : dict of str to ReportMark
+        Newest reports of the targets that were removed last, by listed id.
     """
 
-    __slots__ = ("age_s", "entries", "position")
+    __slots__ = ("age_s", "entries", "gone", "position")
 
-    def __init__(self, position, age_s, entries):
+    def __init__(self, position, age_s, entries, gone=None):
+        self.gone = {} if gone is None else gone
         self.position = position
         self.age_s = age_s
         self.entries = entries
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -38,7 +38,8 @@
         ``async read_all()`` returns the list of `TargetEntry` and a position; ``async
         read_changes(position)`` the list of `TargetChange` and the next position.
         Both raise the same errors as the source of a `TableFollower`.
-        ``take_told(told)`` applies a `ServedTargets` as if it had been read.
+        ``take_told(told)`` applies a `ServedTargets` as if it had been read, and
+        removes late reports from it.
         ``listed`` maps listed ids to the entries at the last position.
     targets : TargetList
         List that is kept up to date.
@@ -303,8 +304,8 @@
 
     def _apply_served(self, served, age_s, sender):
         self._position = self._furthest = served.position
-        self._digest.replace(served.entries)
         self._source.take_told(served)
+        self._digest.replace(served.entries)
         self._targets.replace(served.entries, told_by=f"reader {sender}")
         self._targets.note_confirmed(age_s)
 
--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -42,6 +42,8 @@
         Remaining cold time after a start, as of the target's report, seconds.
     report_number : int
         Sequence number of the report, counted from the start of the instance.
+    started_unix_ms : int or None
+        Time of the start, Unix milliseconds; None if it is not stated.
 
     Attributes
     ----------
@@ -61,6 +63,7 @@
         "report_number",
         "service_name",
         "slot_count",
+        "started_unix_ms",
     )
 
     def __init__(
@@ -75,6 +78,7 @@
         listed_id=None,
         cold_left_s=0.0,
         report_number=0,
+        started_unix_ms=None,
     ):
         self.instance_id = instance_id
         self.service_name = service_name
@@ -86,6 +90,7 @@
         self.listed_id = instance_id if listed_id is None else listed_id
         self.cold_left_s = cold_left_s
         self.report_number = report_number
+        self.started_unix_ms = started_unix_ms
         self.record = None
 
 
@@ -214,6 +219,7 @@
                 address=f"{entry.host}:{entry.port}",
                 failure_domain=entry.failure_domain,
                 leaving=entry.is_leaving,
+                report=entry.report_number,
                 told_by=told_by,
             )
         if entry.is_leaving and not (known is not None and known.is_leaving):
@@ -453,7 +459,12 @@
         self._gone[entry.instance_id] = by_peer
         while len(self._gone) > GONE_LIMIT:
             self._gone.popitem(last=False)
-        _logger.event("target gone", target=entry.instance_id, told_by=told_by)
+        _logger.event(
+            "target gone",
+            target=entry.instance_id,
+            report=entry.report_number,
+            told_by=told_by,
+        )
         if not entry.is_leaving:
             self._notify(entry)
 
--- a/siskinthread/platform/_reader_pages.py
+++ b/siskinthread/platform/_reader_pages.py
@@ -10,7 +10,13 @@
 import zlib
 
 from siskinthread.errors import PlatformUnavailableError
-from siskinthread.gateway import ServedTable, ServedTargets, STATUS_OK, StatusPage
+from siskinthread.gateway import (
+    ReportMark,
+    ServedTable,
+    ServedTargets,
+    STATUS_OK,
+    StatusPage,
+)
 from siskinthread.platform._peer_documents import fetch_document
 from siskinthread.platform._sources import (
     CONFIGURATION_KEY,
@@ -133,6 +139,10 @@
                 "at": [position.era, position.offset],
                 "age_ms": math.ceil(statement.age_s * MILLISECONDS_PER_SECOND),
                 "servers": _pack(json.dumps(records).encode()),
+                "gone": {
+                    key: mark.as_row()
+                    for key, mark in self._targets.recently_gone().items()
+                },
             }
         )
 
@@ -198,12 +208,16 @@
         age_s = max(0, int(document["age_ms"])) / MILLISECONDS_PER_SECOND
         values = json.loads(_unpack(document["servers"]))
         records = [KeyedRecord(key, value.encode()) for key, value in values.items()]
+        gone = {
+            str(key): ReportMark.from_row(row)
+            for key, row in document.get("gone", {}).items()
+        }
     except DECODE_ERRORS as error:
         text = f"unreadable target list from a peer: {error!r}"
         raise PlatformUnavailableError(text) from error
     listing = ListedTargets(None)
     listing.apply(records)
-    return ServedTargets(position, age_s, list(listing.listed.values()))
+    return ServedTargets(position, age_s, list(listing.listed.values()), gone)
 
 
 def _read_position(document):
--- a/siskinthread/platform/_server_entry.py
+++ b/siskinthread/platform/_server_entry.py
@@ -39,8 +39,9 @@
     reader = _FieldReader(key, document)
     host, port = reader.address("address")
     reader.text("version")
+    started_unix_ms = reader.started_at()
     return TargetEntry(
-        instance_id=instance_id(key, reader.started_at()),
+        instance_id=instance_id(key, started_unix_ms),
         service_name=reader.text("service"),
         host=host,
         port=port,
@@ -50,6 +51,7 @@
         listed_id=key,
         cold_left_s=reader.cold_left_s("cold_remaining_ms"),
         report_number=reader.count("sequence"),
+        started_unix_ms=started_unix_ms,
     )
 
 
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -3,7 +3,7 @@
 import json
 
 from siskinthread.errors import DocumentError
-from siskinthread.gateway import TargetChange
+from siskinthread.gateway import ReportOrder, TargetChange
 from siskinthread.observability import part_logger
 from siskinthread.platform._evacuation_records import EvacuationRecords
 from siskinthread.platform._published import read_route_table
@@ -110,21 +110,29 @@
     -----
     An unreadable record removes its target, as a dropped record does: a host that reads
     the list anew does not see the target either.
+
+    A late report changes nothing; see `siskinthread.gateway.ReportOrder`.  It is left
+    out here, and not where targets are chosen, so that all hosts have the same list.
     """
 
-    __slots__ = ("_logged_reasons", "_store", "listed")
+    __slots__ = ("_era", "_logged_reasons", "_order", "_store", "listed")
 
     def __init__(self, store):
         self._store = store
         self.listed = {}
+        self._order = ReportOrder()
+        # Era of the store in which the targets were last read.
+        self._era = None
         # Why records can't be read, by key.
         self._logged_reasons = {}
 
     async def read_all(self):
         """Return every `TargetEntry` and a position."""
         records, position = await self._store.read_newest(TARGETS_TOPIC)
-        self.listed = {}
-        self.apply(records)
+        entries = [self._read_entry(one) for one in records]
+        is_restored = position.era != self._era
+        self._era = position.era
+        self._replace([one for one in entries if one is not None], is_restored)
         return list(self.listed.values()), position
 
     async def read_changes(self, position):
@@ -133,12 +141,63 @@
         return self.apply(records), position
 
     def take_told(self, peer_list):
-        """Adopt the `siskinthread.gateway.ServedTargets` of a peer as if read here."""
-        self.listed = {entry.listed_id: entry for entry in peer_list.entries}
+        """Adopt the `siskinthread.gateway.ServedTargets` of a peer as if read here.
+
+        Late reports are removed from its entries.
+        """
+        for listed_id, mark in peer_list.gone.items():
+            self._order.note_told(listed_id, mark)
+        self._era = peer_list.position.era
+        self._replace(peer_list.entries)
+        peer_list.entries = list(self.listed.values())
+
+    def recently_gone(self):
+        """Return the marks of the targets that were removed last, by listed id."""
+        return self._order.recently_gone()
 
     def apply(self, records):
         """Apply some records, and return each `TargetChange`."""
-        return [TargetChange(one.key, self._read_entry(one)) for one in records]
+        changes = []
+        for record in records:
+            entry = self._read_entry(record)
+            if entry is None:
+                self.listed.pop(record.key, None)
+                self._order.note_gone(record.key)
+            elif self._is_late(entry):
+                continue
+            else:
+                self._order.note(entry)
+                self.listed[record.key] = entry
+            changes.append(TargetChange(record.key, entry))
+        return changes
+
+    def _replace(self, entries, is_restored=False):
+        """Replace all targets; a restored store has older reports of them."""
+        before, self.listed = self.listed, {}
+        for entry in entries:
+            is_older = is_restored and entry.listed_id in before
+            is_late = self._order.is_of_earlier_start if is_older else self._is_late
+            if is_late(entry):
+                continue
+            self._order.note(entry)
+            self.listed[entry.listed_id] = entry
+        for listed_id in before.keys() - self.listed.keys():
+            self._order.note_gone(listed_id)
+
+    def _is_late(self, entry):
+        """Return whether an entry is a late report; log it if so."""
+        if not self._order.is_late(entry):
+            return False
+        newest = self._order.newest(entry.listed_id)
+        _logger.event(
+            "late report of a target is ignored",
+            target=entry.instance_id,
+            report=entry.report_number,
+            newest_report=newest.number,
+            newest_started_unix_ms=newest.started_unix_ms,
+            is_listed=entry.listed_id in self.listed,
+        )
+        return True
 
     def _read_entry(self, record):
         """Return the `TargetEntry` of a record; None if it has none."""
@@ -150,11 +209,8 @@
                 self._log_unreadable(record.key, str(error))
             else:
                 self._logged_reasons.pop(record.key, None)
-        if entry is None:
-            self.listed.pop(record.key, None)
-        else:
+        if entry is not None:
             entry.record = record
-            self.listed[record.key] = entry
         return entry
 
     def _log_unreadable(self, key, reason):
