Check less often while checks of waiting reads fail

Cause: each reader repeated a failed check of the suspected requests each second of an outage. Change: each two seconds; the calls for the target list notice the end of the outage.

--- a/siskinthread/source_eras/_confirmation.py
+++ b/siskinthread/source_eras/_confirmation.py
@@ -10,7 +10,7 @@
 # from elsewhere, seconds; otherwise it counts as lost.
 ANSWER_GRACE_S = 0.1
 # Interval between checks while they fail, seconds.
-FAILED_CHECK_INTERVAL_S = 1.0
+FAILED_CHECK_INTERVAL_S = 2.0
 
 
 class PositionConfirmation:
