--- a/siskinthread/gateway/_target_list.py
+++ b/siskinthread/gateway/_target_list.py
@@ -4,12 +4,9 @@
 
 from siskinthread.gateway._departures import Departures
 from siskinthread.gateway._kept_targets import KeptTargets
+from siskinthread.gateway._report_order import GONE_LIMIT
 from siskinthread.observability import part_logger
 
-# Number of removed targets that are remembered; enough for a fleet of 600 that is
-# completely replaced within minutes.
-GONE_LIMIT = 1024
-
 # Origins of a change, for the log.
 SOURCE = "its source"
 GRACE = "the end of its grace"
