--- a/siskinthread/poison_requests/_following.py
+++ b/siskinthread/poison_requests/_following.py
@@ -37,9 +37,8 @@
         ``write_at(position)`` makes later writes fail if there are changes behind that
         position; ``async write(changes)`` writes changes.  The follower sets
         ``confirmation``; while a read waits, the source is checked when it is due.
-        All calls raise
-        `PlatformUnavailableError`, ``read_changes`` also `PositionExpiredError`,
-        ``write`` both and `RecordsUnreadError`.
+        All calls raise `PlatformUnavailableError`, ``read_changes`` also
+        `PositionExpiredError`, ``write`` both and `RecordsUnreadError`.
     register : PoisonRegister
         The register to synchronise.
     settings : PoisonSettings
@@ -55,8 +54,8 @@
         Other hosts that may read for this one: ``async wait_for_readers()`` waits and
         returns True while they do, ``note_read(position)`` and ``note_lost()`` get the
         result of a read and ``note_check(position)`` that of a check,
-        ``must_read_at_once()`` tells whether others wait for that
-        result, ``check_age_limit_s()`` after which age the source must be checked.
+        ``must_read_at_once()`` tells whether others wait for that result,
+        ``check_age_limit_s()`` after which age the source must be checked.
     confirmation : siskinthread.source_eras.PositionConfirmation
         How long ago the source held nothing after the position of this host.
     """
