Don't drop a listed target for an older report in a reader's list

Cause: a reader's list is as old as its own last read, although its position is confirmed. A report there that is older than one that this host has read itself was taken for late, and the target, which runs, was dropped. Change: in a list of a reader only reports of removed targets can be late. If one is left out, the host reads the source itself, as the target may have come back meanwhile. The newest report that is known stays the mark.

--- a/siskinthread/gateway/_report_order.py
+++ b/siskinthread/gateway/_report_order.py
@@ -121,6 +121,11 @@
         self._gone.pop(entry.listed_id, None)
         self._newest[entry.listed_id] = ReportMark.of_entry(entry)
 
+    def replace(self, entries):
+        """Note all listed targets of a restored source, although older than before."""
+        for entry in entries:
+            self.note(entry)
+
     def note_gone(self, listed_id):
         """Note that a target is no longer listed."""
         if listed_id not in self._newest:
--- a/siskinthread/gateway/_target_following.py
+++ b/siskinthread/gateway/_target_following.py
@@ -281,7 +281,11 @@
         left_s = self._age_limit_s() - age_s
         if left_s <= 0:
             return False
+        entry_count = len(served.entries)
         self._apply_served(served, age_s, address)
+        if len(served.entries) < entry_count:
+            # A report that was left out may be old only in the list of the reader.
+            return False
         self._next_read = Deadline.after(self._clock, left_s)
         await self._forward(self._clock.monotonic_s() - age_s)
         return True
--- a/siskinthread/gateway/tests/test_served_targets.py
+++ b/siskinthread/gateway/tests/test_served_targets.py
@@ -103,6 +103,17 @@
     run_served(test, era=None)
 
 
+def test_host_reads_the_source_when_a_served_report_is_left_out():
+    """Guards against a running target that a reader's older report keeps away."""
+
+    async def test(following):
+        following.source.take_told = lambda served: served.entries.clear()
+        await following.reader.announce()
+        await until(lambda: following.source.reads == 2)
+
+    run_served(test)
+
+
 @pytest.mark.parametrize("case", ["busy", "behind", "other era", "too old"])
 def test_host_reads_the_source_when_the_reader_serves_no_valid_list(case):
     """Guards against applying an older list, and against a change that is missed."""
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -132,7 +132,13 @@
         entries = [self._read_entry(one) for one in records]
         is_restored = position.era != self._era
         self._era = position.era
-        self._replace([one for one in entries if one is not None], is_restored)
+        entries = [one for one in entries if one is not None]
+        if is_restored:
+            # The store has older reports of targets that are listed.
+            self._replace(entries, self._order.is_of_earlier_start)
+            self._order.replace(self.listed.values())
+        else:
+            self._replace(entries, self._is_late)
         return list(self.listed.values()), position
 
     async def read_changes(self, position):
@@ -143,12 +149,13 @@
     def take_told(self, peer_list):
         """Adopt the `siskinthread.gateway.ServedTargets` of a peer as if read here.
 
-        Late reports are removed from its entries.
+        Late reports are removed from its entries.  A report of a listed target may be
+        older than the one that was read here, as the peer's list was not read since.
         """
         for listed_id, mark in peer_list.gone.items():
             self._order.note_told(listed_id, mark)
         self._era = peer_list.position.era
-        self._replace(peer_list.entries)
+        self._replace(peer_list.entries, self._order.is_of_earlier_start)
         peer_list.entries = list(self.listed.values())
 
     def recently_gone(self):
@@ -171,15 +178,23 @@
             changes.append(TargetChange(record.key, entry))
         return changes
 
-    def _replace(self, entries, is_restored=False):
-        """Replace all targets; a restored store has older reports of them."""
+    def _replace(self, entries, is_listed_late):
+        """Replace all targets.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+            The complete list.
+        is_listed_late : callable
+            Returns whether a `TargetEntry` of a target that is listed is late.
+        """
         before, self.listed = self.listed, {}
         for entry in entries:
-            is_older = is_restored and entry.listed_id in before
-            is_late = self._order.is_of_earlier_start if is_older else self._is_late
-            if is_late(entry):
+            is_listed = entry.listed_id in before
+            if (is_listed_late if is_listed else self._is_late)(entry):
                 continue
-            self._order.note(entry)
+            if not self._order.is_late(entry):
+                self._order.note(entry)
             self.listed[entry.listed_id] = entry
         for listed_id in before.keys() - self.listed.keys():
             self._order.note_gone(listed_id)
--- a/siskinthread/platform/tests/test_late_reports.py
+++ b/siskinthread/platform/tests/test_late_reports.py
@@ -141,6 +141,20 @@
     assert told_late.entries == []
 
 
+def test_list_of_a_reader_with_older_reports_drops_no_listed_target():
+    """Guards against a listed target that a reader's list of some seconds ago drops."""
+    source = ListedTargets(None)
+    source.apply([record(8)])
+    reader = ListedTargets(None)
+    reader.apply([record(6)])
+    told = ServedTargets(Position(1, 10), 0.0, list(reader.listed.values()))
+    source.take_told(told)
+    assert list(source.listed) == [TARGET]
+    # The newest report is not forgotten.
+    source.apply([GONE, record(7)])
+    assert source.listed == {}
+
+
 class Fleet:
     """Two gateways of a failure domain, and a target that reports by hand."""
 
