Wait in the tests of slow readers until the endless server has a caller

Cause: test_slow_reader_does_not_keep_an_endless_answer_going needs one of 12 callers at the server whose answer never ends, and targets are chosen at random. Change: further rounds of 12 callers, five at most, until the server has begun an answer. All checks stay as they are, among them that one was begun.

--- a/siskinthread/platform/tests/test_endless_answers.py
+++ b/siskinthread/platform/tests/test_endless_answers.py
@@ -40,6 +40,8 @@
 MEMORY_LIMIT_BYTES = 75 * 1024 * 1024
 SLOW_READ_BYTES = 4096
 SLOW_PAUSE_S = 0.05
+SLOW_CALLERS = 12
+SLOW_ROUNDS_LIMIT = 5
 STREAMS = ("event", "events")
 CASES = [
     (name, path)
@@ -171,17 +173,29 @@
                 time.sleep(SLOW_PAUSE_S)
 
 
+def start_slow_callers(system, name, server):
+    """Start slow callers until the server has begun an answer to one of them.
+
+    Targets are chosen at random, so that all of the first callers may go elsewhere.
+    """
+    callers = []
+    for _ in range(SLOW_ROUNDS_LIMIT):
+        for _ in range(SLOW_CALLERS):
+            callers.append(SlowCaller(system, f"{name}-{len(callers)}"))
+            callers[-1].start()
+            time.sleep(SPREAD_S)
+        if json.loads(call(server, "GET", "/runs")[1])["began_count"] > 0:
+            break
+    return callers
+
+
 @pytest.mark.parametrize("name", ["chunks", "body to the close", "failed"])
 def test_slow_reader_does_not_keep_an_endless_answer_going(system, name):
     """Guards against an answer without end that goes on at the pace of its caller."""
     server_name = f"slow-{name}"
     server = system.start_server(server_name, "--endless", name)
     time.sleep(LIST_READ_S)
-    callers = [SlowCaller(system, f"{server_name}-{number}") for number in range(12)]
-    for caller in callers:
-        caller.start()
-        time.sleep(SPREAD_S)
-    for caller in callers:
+    for caller in start_slow_callers(system, server_name, server):
         caller.join()
     counts = json.loads(call(server, "GET", "/runs")[1])
     system.end_server(server_name)
