Keep the newest report of a target whichever way it is learnt

Cause: a mark that a reader tells, or an older report in its list, was compared by whether it is late, which holds only for the last 30 reports. A host whose own knowledge was older than that kept it, so that a late report was taken for a new one; and an older list lowered it. Change: marks are raised by their order alone. Lateness is asked only of reports. Result: the new cases (100 and 97, 100 and 6) of two tests in test_late_reports.py failed before and pass; found by reading.

--- a/siskinthread/gateway/_report_order.py
+++ b/siskinthread/gateway/_report_order.py
@@ -68,6 +68,12 @@
         starts = (self.started_unix_ms, other.started_unix_ms)
         return None not in starts and starts[0] < starts[1]
 
+    def is_behind(self, other):
+        """Return whether another mark is known to be of a later report."""
+        if self.started_unix_ms == other.started_unix_ms:
+            return self.number < other.number
+        return self.is_earlier_start_than(other)
+
     def is_late_after(self, newest):
         """Return whether a report is one that the source has carried out late.
 
@@ -117,10 +123,15 @@
         return newest is not None and mark.is_earlier_start_than(newest)
 
     def note(self, entry):
-        """Note a `TargetEntry` that is listed."""
+        """Note the newest `TargetEntry` of a target, which is listed."""
         self._gone.pop(entry.listed_id, None)
         self._newest[entry.listed_id] = ReportMark.of_entry(entry)
 
+    def note_listed(self, entry):
+        """Note a `TargetEntry` that is listed, and may be older than the newest one."""
+        self._gone.pop(entry.listed_id, None)
+        self._note_newest(entry.listed_id, ReportMark.of_entry(entry))
+
     def replace(self, entries):
         """Note all listed targets of a restored source, although older than before."""
         for entry in entries:
@@ -138,11 +149,14 @@
 
     def note_told(self, listed_id, mark):
         """Note the newest report of a target that a peer knows to be removed."""
-        newest = self._newest.get(listed_id)
-        if newest is None or newest.is_late_after(mark):
-            self._newest[listed_id] = mark
+        self._note_newest(listed_id, mark)
         self.note_gone(listed_id)
 
     def recently_gone(self):
         """Return the marks of the targets that were removed last, by listed id."""
         return {one: self._newest[one] for one in list(self._gone)[-TOLD_LIMIT:]}
+
+    def _note_newest(self, listed_id, mark):
+        newest = self._newest.get(listed_id)
+        if newest is None or not mark.is_behind(newest):
+            self._newest[listed_id] = mark
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -193,8 +193,7 @@
             is_listed = entry.listed_id in before
             if (is_listed_late if is_listed else self._is_late)(entry):
                 continue
-            if not self._order.is_late(entry):
-                self._order.note(entry)
+            self._order.note_listed(entry)
             self.listed[entry.listed_id] = entry
         for listed_id in before.keys() - self.listed.keys():
             self._order.note_gone(listed_id)
@@ -210,7 +209,6 @@
             report=entry.report_number,
             newest_report=newest.number,
             newest_started_unix_ms=newest.started_unix_ms,
-            is_listed=entry.listed_id in self.listed,
         )
         return True
 
--- a/siskinthread/platform/tests/test_late_reports.py
+++ b/siskinthread/platform/tests/test_late_reports.py
@@ -126,32 +126,34 @@
     assert source.listed[TARGET].is_leaving
 
 
-def test_host_knows_from_a_reader_which_reports_are_late():
+@pytest.mark.parametrize(("newest", "late"), [(8, 5), (100, 97)])
+def test_host_knows_from_a_reader_which_reports_are_late(newest, late):
     """Guards against a host that has read no report since its list was confirmed."""
     source = ListedTargets(None)
     source.apply([record(1)])
-    told = {TARGET: ReportMark(BORN, 8, "10.128.0.9:8080")}
+    told = {TARGET: ReportMark(BORN, newest, "10.128.0.9:8080")}
     source.take_told(ServedTargets(Position(1, 10), 0.0, [], told))
-    source.apply([record(5)])
+    source.apply([record(late)])
     assert source.listed == {}
     served = ListedTargets(None)
-    served.apply([record(5)])
+    served.apply([record(late)])
     told_late = ServedTargets(Position(1, 12), 0.0, list(served.listed.values()))
     source.take_told(told_late)
     assert told_late.entries == []
 
 
-def test_list_of_a_reader_with_older_reports_drops_no_listed_target():
+@pytest.mark.parametrize(("newest", "older"), [(8, 6), (100, 6)])
+def test_list_of_a_reader_with_older_reports_drops_no_listed_target(newest, older):
     """Guards against a listed target that a reader's list of some seconds ago drops."""
     source = ListedTargets(None)
-    source.apply([record(8)])
+    source.apply([record(newest)])
     reader = ListedTargets(None)
-    reader.apply([record(6)])
+    reader.apply([record(older)])
     told = ServedTargets(Position(1, 10), 0.0, list(reader.listed.values()))
     source.take_told(told)
     assert list(source.listed) == [TARGET]
     # The newest report is not forgotten.
-    source.apply([GONE, record(7)])
+    source.apply([GONE, record(newest - 1)])
     assert source.listed == {}
 
 
