--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -1,7 +1,7 @@
 """The operators' document, decoded to a route table.
 
-What is malformed grants nothing: with ``tenants`` of any value requests need a key, and
-only readable keys of named accounts are accepted.
+Malformed values grant nothing: requests need a key if ``tenants`` has any value, and only
+readable keys of named accounts are accepted.
 """
 
 import math
@@ -186,7 +186,7 @@
         accounts |= dict.fromkeys(readable, account)
     if ignored_count:
         _logger.event(
-            "client accounts or keys are unreadable and accepted from nobody",
+            "unreadable client accounts or keys are ignored",
             version=document["version"],
             count=ignored_count,
         )
--- a/siskinthread/source_eras/_confirmation.py
+++ b/siskinthread/source_eras/_confirmation.py
@@ -41,21 +41,21 @@
         "_age_limit_s",
         "_clock",
         "_confirmed_at_s",
+        "_failure_age_limit_s",
         "_hastened",
         "_hastened_deadline",
-        "_failure_age_limit_s",
         "on_check",
     )
 
     def __init__(self, clock, age_limit_s, failure_age_limit_s=math.inf):
         self._clock = clock
         self._age_limit_s = age_limit_s
+        self._failure_age_limit_s = failure_age_limit_s
         self._confirmed_at_s = None
         # When the source is to be asked because a peer has read further.
         self._hastened_deadline = None
         self._hastened = curio.Event()
         self.on_check = None
-        self._failure_age_limit_s = failure_age_limit_s
 
     def note(self, age_s=0.0):
         """Note that a peer read up to the position `age_s` seconds ago."""
