--- a/siskinthread/gateway/_report_order.py
+++ b/siskinthread/gateway/_report_order.py
@@ -12,8 +12,8 @@
 GONE_LIMIT = 1024
 # Number of removed targets that are told to other hosts, the most recent ones.
 TOLD_LIMIT = 32
-# A report that is further behind the newest one is not taken for late: writes are carried
-# out within seconds, and targets report about once a second.
+# A report that is further behind the newest one is not taken for late: writes are
+# carried out within seconds, and targets report about once a second.
 LATE_REPORTS_LIMIT = 30
 # Number of the first report of a start.
 FIRST_REPORT_NUMBER = 1
--- a/siskinthread/platform/_published.py
+++ b/siskinthread/platform/_published.py
@@ -1,7 +1,7 @@
 """The operators' document, decoded to a route table.
 
-Malformed values grant nothing: requests need a key if ``tenants`` has any value, and only
-readable keys of named accounts are accepted.
+Malformed values grant nothing: requests need a key if ``tenants`` has any value, and
+only readable keys of named accounts are accepted.
 """
 
 import math
