--- a/siskinthread/platform/tests/test_stored_suspects.py
+++ b/siskinthread/platform/tests/test_stored_suspects.py
@@ -26,6 +26,8 @@
 SLOW = SETTINGS.with_values(write_spread_s=0.5)
 POISON, OTHER = "5f0c", "77aa"
 HANG_S = 20.0
+# A request must be kept off so long after its last crash.
+KEPT_OFF_S = 3.0
 
 
 class Host:
@@ -62,11 +64,12 @@
         return self.register.blocked_until(fingerprint) is not None
 
 
-def run_hosts(test):
+def run_hosts(test, clock=None):
     """Run an async test with a store, a clock, and two hosts that have not started."""
+    clock = ManualClock() if clock is None else clock
 
     async def main():
-        store, clock = PlatformStoreStandin(), ManualClock()
+        store = PlatformStoreStandin()
         async with HttpServer(store.handle) as server:
             address = Address(server.host, server.port)
             hosts = [Host(address, clock) for _ in range(2)]
@@ -100,6 +103,24 @@
     run_hosts(test)
 
 
+def test_record_is_read_beside_a_waiting_read_that_is_lost():
+    """Guards against hosts that learn of a request only when a lost read times out."""
+
+    async def test(store, clock, one, two):
+        await one.start()
+        await two.start()
+        # Long enough for both reads to wait at the store.
+        await curio.sleep(0.3)
+        store.mode = "deaf"
+        await one.end_targets(POISON, "i-1", "i-2", "i-3")
+        await until(lambda: stored(store) == {POISON})
+        written_s = clock.monotonic_s()
+        await until(lambda: two.is_kept_off(POISON))
+        assert clock.monotonic_s() - written_s < KEPT_OFF_S
+
+    run_hosts(test, SYSTEM_CLOCK)
+
+
 def test_unavailable_store_gets_the_record_later():
     """Guards against losing with the processes what three servers were lost for.
 
