Bound the memory of all callers' connections together

What was seen: 400 callers whose bodies or pipelined requests wait take 130 MB to 497 MB on where 80 MB are the limit (`test_crowds.py`). Refused callers and callers that wait for their turn hold most of it, not the bodies that are counted.

Cause: each connection read up to 131 KB ahead, whatever its phase; the kernel kept as much again in receive buffers that grow; nothing counted either. Two coroutines kept the last 16 KB to 64 KB in a local variable while they waited for more, and tasks and connection referred to each other, so that a closed connection stayed until the garbage collector found it.

Change: `InputMemory` counts what each connection takes, with its kernel buffer and unused input, where it changes. Beyond `connections_limit_bytes` (1/6 of `limits.memory_mb`) connections that wait for their caller are closed, those with their last response first, then the longest without progress; requests that are being served are kept. A shared buffer is read into, 16 KB are read ahead, listening sockets have a receive buffer of 16 KB, and a closed connection drops its references. A surplus connection is refused before its body is read. Accepting gives other tasks a turn after 16 connections.

--- a/siskinthread/callers/_server.py
+++ b/siskinthread/callers/_server.py
@@ -2,7 +2,7 @@
 
 from siskinthread.callers._context import CallerContext, random_request_id
 from siskinthread.callers._session import CallerSession
-from siskinthread.http_server import ConnectionServer
+from siskinthread.http_server import ConnectionServer, InputMemory
 
 
 def _unknown_hosts():
@@ -45,6 +45,7 @@
         connected_hosts=_unknown_hosts,
         request_ids=random_request_id,
     ):
+        memory = InputMemory(settings.connections_limit_bytes)
         context = CallerContext(
             settings,
             view,
@@ -56,7 +57,9 @@
             request_ids,
         )
         open_count = metrics.gauge("callers_connections", "Connections that are open.")
-        super().__init__(settings, context, self._open_session, clock, open_count)
+        super().__init__(
+            settings, context, self._open_session, clock, open_count, memory
+        )
 
     def _open_session(self, connection, is_surplus):
         return CallerSession(connection, self._context, is_surplus)
--- a/siskinthread/callers/_settings.py
+++ b/siskinthread/callers/_settings.py
@@ -32,9 +32,23 @@
         description="Memory for the bodies of all requests together; a request that "
         "would exceed it is refused, not run.",
     )
+    connections_limit_bytes = Item(
+        int,
+        default=134_217_728,
+        minimum=0,
+        description="Memory for the connections of callers, with what they have sent "
+        "and what is not used yet; 0 for no limit. Beyond it, connections that wait "
+        "for their caller are closed, those without progress for longest first.",
+    )
+    receive_buffer_bytes = Item(
+        int,
+        default=16_384,
+        minimum=1,
+        description="Size of the kernel's receive buffer of a caller's connection.",
+    )
     pipelined_limit_bytes = Item(
         int,
-        default=65_536,
+        default=16_384,
         minimum=1,
         description="Maximum number of bytes read from a connection ahead of the "
         "request that is being served.",
--- a/siskinthread/callers/tests/test_limits.py
+++ b/siskinthread/callers/tests/test_limits.py
@@ -25,7 +25,7 @@
     STREAM,
     wait_until,
 )
-from siskinthread.http_server import CallerSocket, Phase
+from siskinthread.http_server import CallerGroup, CallerSocket, InputMemory, Phase
 from siskinthread.outcomes import Part
 from siskinthread.timing import ManualClock
 
@@ -103,7 +103,8 @@
 
     async def run():
         ours, theirs = socket.socketpair()
-        caller = CallerSocket(ours, CallerSettings(), ManualClock())
+        group = CallerGroup(InputMemory(0))
+        caller = CallerSocket(ours, CallerSettings(), ManualClock(), group)
         await caller.open()
         caller.enter(Phase.HEAD, 1.0)
         await theirs.sendall(b"last bytes")
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -19,7 +19,7 @@
 from siskinthread.gateway._table import TableView
 from siskinthread.gateway._table_following import TableFollower
 from siskinthread.gateway._target_following import TargetFollower
-from siskinthread.http_server import ConnectionServer
+from siskinthread.http_server import ConnectionServer, InputMemory
 from siskinthread.observability import part_logger
 from siskinthread.peer_news import HostState
 from siskinthread.poison_requests import PoisonFollower, WriteTurns
@@ -59,6 +59,7 @@
         "_clock",
         "_context",
         "_eras",
+        "_input_memory",
         "_metrics",
         "_peers",
         "_poison_follower",
@@ -118,6 +119,8 @@
             "Connections of callers that were ended early, by cause.",
             ("cause",),
         )
+        # The servers of status pages share the limit.
+        self._input_memory = InputMemory(settings.connections_limit_bytes)
         self._context = GatewayContext(
             live,
             self.view,
@@ -172,6 +175,7 @@
             self._open_session,
             clock,
             metrics.gauge("gateway_connections", "Connections of callers."),
+            self._input_memory,
             settings.slow_readers_limit_bytes,
         )
 
@@ -322,6 +326,7 @@
             open_session,
             self._clock,
             self._metrics.gauge("gateway_status_connections", "Connections for it."),
+            self._input_memory,
         )
         await server.run(listening_socket)
 
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -60,6 +60,11 @@
         context = self.context
         self._received_at_s = context.parts.clock.monotonic_s()
         self._facts = context.parts.wire.read_request(head)
+        if self._is_surplus:
+            message = "This host has too many connections."
+            wait_s = context.settings.retry_after_s
+            refusal = refuse(Reason.OVERLOADED, message, retry_after_s=wait_s)
+            return await self.refuse(refusal, in_transfer=True)
         share = context.bodies.share()
         try:
             body = await self.connection.read_body(share)
@@ -93,9 +98,6 @@
         context = self.context
         table = context.view.table
         wait_s = context.settings.retry_after_s
-        if self._is_surplus:
-            message = "This host has too many connections."
-            return refuse(Reason.OVERLOADED, message, closes=True, retry_after_s=wait_s)
         if table is None:
             message = "No configuration is known yet."
             return refuse(Reason.NOT_READY, message, retry_after_s=wait_s)
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -62,9 +62,23 @@
         "read slowly; 0 for no limit. Beyond it, the connections of the slowest "
         "callers are closed.",
     )
+    connections_limit_bytes = Item(
+        int,
+        default=100_663_296,
+        minimum=0,
+        description="Memory for the connections of callers, with what they have sent "
+        "and what is not used yet; 0 for no limit. Beyond it, connections that wait "
+        "for their caller are closed, those without progress for longest first.",
+    )
+    receive_buffer_bytes = Item(
+        int,
+        default=16_384,
+        minimum=1,
+        description="Size of the kernel's receive buffer of a caller's connection.",
+    )
     pipelined_limit_bytes = Item(
         int,
-        default=65_536,
+        default=16_384,
         minimum=1,
         description="Maximum number of pipelined bytes that are read from a caller "
         "while an earlier request is being served.",
--- a/siskinthread/http_server/_caller_socket.py
+++ b/siskinthread/http_server/_caller_socket.py
@@ -1,53 +1,27 @@
 """Input and output of one caller's socket, with time limits."""
 
-import enum
 import socket as standard_socket
-from collections import deque
 
 import curio
 
 from siskinthread.errors import ConnectionLostError
+from siskinthread.http_server._input_memory import CONNECTION_BYTES
+from siskinthread.http_server._phase import (
+    Ending,
+    ENDING_BY_PHASE,
+    Phase,
+    WAITING_PHASES,
+)
 from siskinthread.sockets import reset
 
-RECEIVE_SIZE_BYTES = 65_536
+# Bytes that count as progress, however slowly others follow.
+PROGRESS_BYTES = 4096
 MILLISECONDS_PER_SECOND = 1000
-# A blocked write has filled the kernel's send buffer, which the kernel makes twice as
-# large as requested.
+# The kernel makes the buffers of a socket twice as large as requested. A blocked write
+# has filled that for sending.
 KERNEL_BUFFER_FACTOR = 2
 
 
-class Phase(enum.Enum):
-    """Phase of a connection, by what it waits for."""
-
-    IDLE = "idle"
-    HEAD = "head"
-    BODY = "body"
-    ANSWER = "answer"
-    WRITE = "write"
-    LINGER = "linger"
-
-
-class Ending(enum.Enum):
-    """Why a connection was ended early."""
-
-    CALLER_LEFT = "caller_left"
-    IDLE = "idle"
-    SLOW_HEAD = "slow_head"
-    SLOW_BODY = "slow_body"
-    SLOW_READER = "slow_reader"
-    LINGERED = "lingered"
-    # A slow reader, ended because buffered bytes exceed the limit for all slow readers.
-    MEMORY = "memory"
-
-
-ENDING_BY_PHASE = {
-    Phase.IDLE: Ending.IDLE,
-    Phase.HEAD: Ending.SLOW_HEAD,
-    Phase.BODY: Ending.SLOW_BODY,
-    Phase.LINGER: Ending.LINGERED,
-}
-
-
 class CallerSocket:
     """Reads ahead from a caller's socket and writes to it.
 
@@ -63,6 +37,8 @@
         Limits.
     clock : siskinthread.timing.Clock
         Clock for the time limits.
+    group : CallerGroup
+        The connections of the server.
 
     Attributes
     ----------
@@ -79,34 +55,45 @@
         Bytes of the current write that the kernel has not accepted yet.
     write_started_at_s : float or None
         When the current write began, monotonic seconds; None without one.
+    progressed_at_s : float
+        When the caller last went on to another phase or sent `PROGRESS_BYTES` more,
+        monotonic seconds.
     """
 
     __slots__ = (
         "_input_changed",
         "_clock",
+        "_group",
         "_incoming",
         "_incoming_bytes",
         "_interrupted",
         "_limit_passed",
+        "_progress_bytes",
         "_reader",
         "_buffer_space",
         "_serving_task",
         "_settings",
         "_socket",
+        "_unused_bytes",
         "caller_left",
         "ending",
         "expires_at_s",
         "phase",
+        "progressed_at_s",
         "unsent_bytes",
         "write_started_at_s",
     )
 
-    def __init__(self, socket, settings, clock):
+    def __init__(self, socket, settings, clock, group):
         self._socket = socket
         self._settings = settings
         self._clock = clock
-        self._incoming = deque()
+        self._group = group
+        self._unused_bytes = 0
+        self._incoming = bytearray()
         self._incoming_bytes = 0
+        self._progress_bytes = 0
+        self.progressed_at_s = clock.monotonic_s()
         self._interrupted = False
         self._limit_passed = False
         self._input_changed = curio.Event()
@@ -120,6 +107,16 @@
         self.unsent_bytes = 0
         self.write_started_at_s = None
 
+    @property
+    def is_waiting(self):
+        """Whether the connection is served and waits for its caller."""
+        return self._serving_task is not None and self.phase in WAITING_PHASES
+
+    def join(self):
+        """Count the connection among those of its server."""
+        self._group.join(self)
+        self._count_input()
+
     async def open(self):
         """Set socket options and start reading; called by the serving task."""
         self._set_socket_options()
@@ -128,14 +125,12 @@
 
     async def close(self):
         """Stop reading and close the socket."""
-        if self._reader is not None:
-            await self._reader.cancel()
+        await self._stop_reading()
         await self._socket.close()
 
     async def abort(self):
         """Stop reading and reset the connection because its answer is incomplete."""
-        if self._reader is not None:
-            await self._reader.cancel()
+        await self._stop_reading()
         await reset(self._socket)
 
     def held_bytes(self):
@@ -150,6 +145,11 @@
         """End the connection of a slow reader to free its buffers."""
         await self._interrupt(Ending.MEMORY)
 
+    async def evict(self):
+        """End a connection that waits for its caller, to make room for others."""
+        self._group.leave(self)
+        await self._interrupt(Ending.MEMORY)
+
     async def expire(self):
         """Handle the expiry of the phase's time limit.
 
@@ -168,21 +168,29 @@
         """Enter a phase that may take `limit_s` seconds."""
         self.phase = phase
         self._limit_passed = False
-        self.expires_at_s = self._clock.monotonic_s() + limit_s
+        self.progressed_at_s = self._clock.monotonic_s()
+        self.expires_at_s = self.progressed_at_s + limit_s
 
     def enter_answer(self):
         """Enter the wait for the answer, which has its own deadline."""
         self.phase = Phase.ANSWER
         self.expires_at_s = None
 
-    async def receive(self):
+    async def receive(self, unused_bytes=0):
         """Return the next bytes from the caller.
 
+        Parameters
+        ----------
+        unused_bytes : int
+            Number of earlier bytes that the reader of the input still holds.
+
         Returns
         -------
         bytes or None
             Empty at the end of the input; None if the phase's time limit has passed.
         """
+        self._unused_bytes = unused_bytes
+        self._count_input()
         while not self._incoming:
             if self.caller_left:
                 return b""
@@ -191,8 +199,14 @@
                 return None
             self._input_changed.clear()
             await self._input_changed.wait()
-        data = self._incoming.popleft()
-        self._incoming_bytes -= len(data)
+        data = bytes(self._incoming)
+        self._incoming.clear()
+        self._incoming_bytes = 0
+        self._unused_bytes += len(data)
+        self._progress_bytes += len(data)
+        if self._progress_bytes >= PROGRESS_BYTES:
+            self._progress_bytes = 0
+            self.progressed_at_s = self._clock.monotonic_s()
         await self._buffer_space.set()
         return data
 
@@ -242,27 +256,53 @@
             pass
 
     async def _read_ahead(self):
+        limit_bytes = self._settings.pipelined_limit_bytes
         while not self.caller_left:
-            try:
-                data = await self._socket.recv(RECEIVE_SIZE_BYTES)
-            except OSError:
-                data = b""
-            self._incoming.append(data)
-            self._incoming_bytes += len(data)
-            self.caller_left = not data
+            await self._read_some(limit_bytes - self._incoming_bytes)
+            self._count_input()
             await self._input_changed.set()
             if self.caller_left and self.phase in (Phase.ANSWER, Phase.WRITE):
                 await self._interrupt(Ending.CALLER_LEFT)
-            while self._incoming_bytes >= self._settings.pipelined_limit_bytes:
+            if self._group.memory.is_over:
+                await self._group.memory.make_room()
+            while self._incoming_bytes >= limit_bytes:
                 self._buffer_space.clear()
                 await self._buffer_space.wait()
 
+    async def _read_some(self, limit_bytes):
+        # No other task runs between the read and the copy out of the shared buffer.
+        buffer = self._group.receive_buffer
+        try:
+            size_bytes = await self._socket.recv_into(buffer[:limit_bytes])
+        except OSError:
+            size_bytes = 0
+        self._incoming += buffer[:size_bytes]
+        self._incoming_bytes += size_bytes
+        self.caller_left = not size_bytes
+
+    def _count_input(self):
+        """Count the memory of the connection with its unused input."""
+        size_bytes = self._incoming_bytes + self._unused_bytes
+        if size_bytes or self.phase is not Phase.IDLE:
+            size_bytes += KERNEL_BUFFER_FACTOR * self._settings.receive_buffer_bytes
+        self._group.memory.count(self, CONNECTION_BYTES + size_bytes)
+
+    async def _stop_reading(self):
+        self._group.leave(self)
+        if self._reader is not None:
+            await self._reader.cancel()
+        # Tasks and connection refer to each other; their memory is needed before the
+        # garbage collector finds them.
+        self._reader = None
+        self._serving_task = None
+        self._incoming.clear()
+
     async def _interrupt(self, ending):
         """Cancel the serving task, which waits for an answer or for buffer space.
 
         Only the first interruption has an effect, as curio cancels a task only once.
         """
-        if not self._interrupted:
+        if not self._interrupted and self._serving_task is not None:
             self._interrupted = True
             self.ending = ending
             await self._serving_task.cancel(blocking=False)
--- a/siskinthread/http_server/_connection.py
+++ b/siskinthread/http_server/_connection.py
@@ -4,8 +4,9 @@
 
 import h11
 
-from siskinthread.http_server._caller_socket import CallerSocket, Phase
+from siskinthread.http_server._caller_socket import CallerSocket
 from siskinthread.http_server._head import RequestHead
+from siskinthread.http_server._phase import Phase
 from siskinthread.http_server._refusal import bad_request, refuse
 from siskinthread.outcomes import Reason
 
@@ -28,6 +29,8 @@
         Limits.
     clock : siskinthread.timing.Clock
         Clock for the time limits.
+    group : CallerGroup
+        The connections of the server.
 
     Attributes
     ----------
@@ -35,10 +38,16 @@
         The socket with its time limits.
     """
 
-    __slots__ = ("_ends_by_close", "_http", "_method", "_settings", "caller")
+    __slots__ = (
+        "_ends_by_close",
+        "_http",
+        "_method",
+        "_settings",
+        "caller",
+    )
 
-    def __init__(self, socket, settings, clock):
-        self.caller = CallerSocket(socket, settings, clock)
+    def __init__(self, socket, settings, clock, group):
+        self.caller = CallerSocket(socket, settings, clock, group)
         self._settings = settings
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=settings.head_size_limit_bytes
@@ -190,10 +199,15 @@
                 await self._write_continue()
             if caller.phase is Phase.IDLE and self._http.trailing_data[0]:
                 caller.enter(Phase.HEAD, self._settings.head_limit_s)
-            data = await caller.receive()
-            if data is None:
+            if not await self._receive_more():
                 return LIMIT_PASSED
+
+    async def _receive_more(self):
+        # A method of its own, so that no variable holds the bytes during a later wait.
+        data = await self.caller.receive(len(self._http.trailing_data[0]))
+        if data is not None:
             self._http.receive_data(data)
+        return data is not None
 
     async def _write_continue(self):
         continue_response = h11.InformationalResponse(status_code=100, headers=[])
--- a/siskinthread/http_server/_server.py
+++ b/siskinthread/http_server/_server.py
@@ -1,12 +1,14 @@
 """Accept connections, enforce their limits and drain them."""
 
 import errno
+import socket as standard_socket
 
 import curio
 
 from siskinthread.errors import InvariantError
-from siskinthread.http_server._caller_socket import Phase
 from siskinthread.http_server._connection import CallerConnection
+from siskinthread.http_server._input_memory import CallerGroup
+from siskinthread.http_server._phase import Phase
 from siskinthread.observability import part_logger
 from siskinthread.timing import Deadline, SYSTEM_CLOCK
 
@@ -17,6 +19,8 @@
 # repeated failures count without gaps.
 ACCEPT_FAILED_S = 0.5
 RESTART_PAUSE_S = 0.1
+# Connections that are accepted before other tasks have their turn.
+ACCEPTS_PER_TURN = 16
 # If accepting takes longer, the kernel's accept queue is considered empty.
 QUEUE_EMPTY_TIMEOUT_S = 0.01
 # A longer interval between rounds of the watchdog means that the process was paused.
@@ -32,7 +36,8 @@
     ----------
     settings : Section
         Limits: ``connections_limit``, ``watch_interval_s``, ``linger_limit_s``,
-        ``idle_grace_s``, ``balancer_notice_s`` and those of `CallerConnection`.
+        ``idle_grace_s``, ``balancer_notice_s``, ``receive_buffer_bytes`` and those of
+        `CallerConnection`.
     context : object
         Object with a ``drain`` (`DrainState`), ``draining``, set when readiness fails,
         and ``closing``, set when each connection is to be closed after its next
@@ -44,6 +49,8 @@
         Clock for the time limits.
     open_count : prometheus_client.Gauge
         Set to the number of open connections.
+    memory : InputMemory
+        Memory of the connections of all servers of the process.
     held_limit_bytes : int
         Maximum number of bytes buffered for all slow readers together; 0 for no limit.
     """
@@ -56,12 +63,14 @@
         "_connections",
         "_context",
         "_emptied",
+        "_group",
         "_listening_socket",
         "_open_count",
         "_accept_failed_until",
         "_held_limit_bytes",
         "_settings",
         "_stopped",
+        "_surplus_count",
     )
 
     def __init__(
@@ -71,8 +80,10 @@
         build_session,
         clock,
         open_count,
+        memory,
         held_limit_bytes=0,
     ):
+        self._group = CallerGroup(memory)
         self._held_limit_bytes = held_limit_bytes
         self._settings = settings
         self._context = context
@@ -80,6 +91,7 @@
         self._clock = clock
         self._open_count = open_count
         self._connections = {}
+        self._surplus_count = 0
         self._emptied = curio.Event()
         self._stopped = curio.Event()
         self._accepting = None
@@ -109,6 +121,12 @@
             If a request raised this error.
         """
         self._listening_socket = listening_socket
+        # Accepted connections inherit it.
+        listening_socket.setsockopt(
+            standard_socket.SOL_SOCKET,
+            standard_socket.SO_RCVBUF,
+            self._settings.receive_buffer_bytes,
+        )
         watchdog = await curio.spawn(
             self._run_with_restarts, self._watch_limits, daemon=True
         )
@@ -178,7 +196,11 @@
                 await curio.sleep(RESTART_PAUSE_S)
 
     async def _accept_forever(self):
+        accepted_count = 0
         while True:
+            accepted_count += 1
+            if accepted_count % ACCEPTS_PER_TURN == 0:
+                await curio.sleep(0)
             try:
                 socket, _ = await self._listening_socket.accept()
             except OSError as error:
@@ -193,17 +215,28 @@
             await self._start_session(socket)
 
     async def _start_session(self, socket):
-        surplus = len(self._connections) - self._settings.connections_limit
-        if surplus >= REFUSED_CONNECTIONS_LIMIT:
+        limit = self._settings.connections_limit
+        memory = self._group.memory
+        if memory.is_over:
+            await memory.make_room()
+        is_surplus = memory.is_over or self._group.count >= limit
+        # Ended connections remain open until their tasks have run.
+        open_limit = limit + REFUSED_CONNECTIONS_LIMIT
+        has_no_place = is_surplus and self._surplus_count >= REFUSED_CONNECTIONS_LIMIT
+        if has_no_place or len(self._connections) >= open_limit:
             await socket.close()
             return
-        connection = CallerConnection(socket, self._settings, self._clock)
-        session = self._build_session(connection, surplus >= 0)
-        task = await curio.spawn(self._serve, session, connection, daemon=True)
+        connection = CallerConnection(socket, self._settings, self._clock, self._group)
+        connection.caller.join()
+        session = self._build_session(connection, is_surplus)
+        task = await curio.spawn(
+            self._serve, session, connection, is_surplus, daemon=True
+        )
         self._connections[connection] = task
+        self._surplus_count += is_surplus
         self._open_count.set(len(self._connections))
 
-    async def _serve(self, session, connection):
+    async def _serve(self, session, connection, is_surplus):
         try:
             await session.run()
         except InvariantError as error:
@@ -215,6 +248,7 @@
             logger.exception("unexpected error while serving a connection")
         finally:
             del self._connections[connection]
+            self._surplus_count -= is_surplus
             self._open_count.set(len(self._connections))
             if not self._connections:
                 await self._emptied.set()
--- a/siskinthread/platform/_host_settings.py
+++ b/siskinthread/platform/_host_settings.py
@@ -8,13 +8,13 @@
 
 SETTINGS_VARIABLE = "SISKINTHREAD_BOOT"
 BYTES_PER_MEGABYTE = 1_000_000
-# Fractions of the host's memory. Each sent body and each assembled answer exists twice
-# for a while. Of 152 MB these limits allow 38 MB, 19 MB and 38 MB, which leaves 57 MB
-# for the process; it takes 26 MB when idle.
+# Fractions of the host's memory. Each assembled answer exists twice for a while. Of
+# 112 MB these limits allow 75 MB, which leaves 37 MB for the process.
 MEMORY_SHARES = {
     "bodies_limit_bytes": 1 / 8,
     "answers_limit_bytes": 1 / 16,
     "slow_readers_limit_bytes": 1 / 4,
+    "connections_limit_bytes": 1 / 6,
 }
 
 
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -84,6 +84,7 @@
         "bodies_limit_bytes": 19_000_000,
         "answers_limit_bytes": 9_500_000,
         "slow_readers_limit_bytes": 38_000_000,
+        "connections_limit_bytes": 25_333_333,
     }
 
 
