Join the parts of a body as they arrive

What was seen: 8 callers that send chunks of 2 bytes take 86 MB where 80 are the limit on, 100 of them 395 MB.

Cause: each part of a body was an object of its own in a list, some 50 bytes beside the 2 that the limit on all bodies counted.

--- a/siskinthread/callers/_context.py
+++ b/siskinthread/callers/_context.py
@@ -2,7 +2,7 @@
 
 import os
 
-from siskinthread.http_server import BodyBudget, DrainState
+from siskinthread.http_server import DrainState, RequestBodies
 
 
 def random_request_id():
@@ -34,7 +34,7 @@
 
     Attributes
     ----------
-    bodies : BodyBudget
+    bodies : RequestBodies
         Budget for the bytes of request bodies.
     drain : siskinthread.http_server.DrainState
         Progress of a drain.
@@ -80,7 +80,7 @@
         self.metrics = metrics
         self.connected_hosts = connected_hosts
         self.request_ids = request_ids
-        self.bodies = BodyBudget(settings.bodies_limit_bytes)
+        self.bodies = RequestBodies(settings.bodies_limit_bytes)
         self.drain = DrainState()
         self.draining = False
         self.closing = False
--- a/siskinthread/callers/_session.py
+++ b/siskinthread/callers/_session.py
@@ -58,16 +58,16 @@
             # The body is not read, so no later request on the connection can be.
             accepted.closes = True
             return await self.refuse(accepted)
-        share = self.context.bodies.share()
+        receiving = self.context.bodies.body()
         try:
-            body = await self.connection.read_body(share)
+            body = await self.connection.read_body(receiving)
             if isinstance(body, Refusal):
                 return await self.refuse(body, in_transfer=True)
             if isinstance(accepted, Refusal):
                 return await self.refuse(accepted)
             return await respond(accepted.route, self, accepted, body)
         finally:
-            share.release()
+            receiving.release()
 
     async def write_text(self, status, content_type, body):
         """Write a response that the entry itself produced; return True."""
--- a/siskinthread/gateway/_context.py
+++ b/siskinthread/gateway/_context.py
@@ -1,6 +1,6 @@
 """State that all connections of a gateway share."""
 
-from siskinthread.http_server import BodyBudget, DrainState
+from siskinthread.http_server import DrainState, RequestBodies
 
 LIMIT_NAMES = (
     "head_size_limit_bytes",
@@ -52,7 +52,7 @@
 
     Attributes
     ----------
-    bodies : siskinthread.http_server.BodyBudget
+    bodies : siskinthread.http_server.RequestBodies
         Memory budget for request bodies.
     drain : siskinthread.http_server.DrainState
         Progress of a drain.
@@ -79,7 +79,7 @@
         self.view = view
         self.parts = parts
         self.ended_count = ended_count
-        self.bodies = BodyBudget(settings.bodies_limit_bytes)
+        self.bodies = RequestBodies(settings.bodies_limit_bytes)
         self.drain = DrainState()
         self.draining = False
         self.closing = False
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -65,9 +65,9 @@
             wait_s = context.settings.retry_after_s
             refusal = refuse(Reason.OVERLOADED, message, retry_after_s=wait_s)
             return await self.refuse(refusal, in_transfer=True)
-        share = context.bodies.share()
+        receiving = context.bodies.body()
         try:
-            body = await self.connection.read_body(share)
+            body = await self.connection.read_body(receiving)
             if isinstance(body, Refusal):
                 if body.end.reason is Reason.OVERLOADED:
                     await context.parts.sends.end_slowest()
@@ -77,7 +77,7 @@
                 return await self.refuse(accepted)
             return await self._forward(head, body, accepted)
         finally:
-            share.release()
+            receiving.release()
 
     async def refuse(self, refusal, in_transfer=False):
         """Write a refusal; return whether the connection may be reused."""
--- a/siskinthread/gateway/_status.py
+++ b/siskinthread/gateway/_status.py
@@ -47,7 +47,7 @@
 
     async def answer(self, head):
         """Answer one request; return whether the connection may be reused."""
-        body = await self.connection.read_body(self.context.bodies.share())
+        body = await self.connection.read_body(self.context.bodies.body())
         if not isinstance(body, bytes):
             return await self.refuse(body)
         build = self._pages.get(head.target.partition("?")[0])
--- a/siskinthread/http_server/__init__.py
+++ b/siskinthread/http_server/__init__.py
@@ -19,6 +19,7 @@
 from siskinthread.http_server._input_memory import CallerGroup, InputMemory
 from siskinthread.http_server._phase import Phase
 from siskinthread.http_server._refusal import bad_request, Refusal, refuse, status_of
+from siskinthread.http_server._request_body import RequestBodies
 from siskinthread.http_server._server import ConnectionServer
 from siskinthread.http_server._session import Session
 
@@ -33,6 +34,7 @@
     "InputMemory",
     "Phase",
     "Refusal",
+    "RequestBodies",
     "RequestHead",
     "Session",
     "bad_request",
--- a/siskinthread/http_server/_body_budget.py
+++ b/siskinthread/http_server/_body_budget.py
@@ -1,8 +1,8 @@
-"""Limit on the memory of all request bodies together."""
+"""Limit on the memory of all bodies of a kind together."""
 
 
 class BodyBudget:
-    """Counts the bytes of the request bodies in memory.
+    """Counts the bytes of bodies in memory.
 
     Parameters
     ----------
--- a/siskinthread/http_server/_connection.py
+++ b/siskinthread/http_server/_connection.py
@@ -91,15 +91,14 @@
             event.http_version.decode("ascii"),
         )
 
-    async def read_body(self, share):
+    async def read_body(self, body):
         """Return the complete body as bytes, or a `Refusal`.
 
         Parameters
         ----------
-        share : BodyShare
-            Reservation for the bytes of the body.
+        body : RequestBody
+            Holds the bytes of the body.
         """
-        parts = []
         left_bytes = self._settings.body_size_limit_bytes
         while True:
             try:
@@ -108,7 +107,7 @@
                 return _protocol_refusal(error)
             if isinstance(event, h11.EndOfMessage):
                 self.caller.enter_answer()
-                return b"".join(parts)
+                return body.complete()
             if event is LIMIT_PASSED:
                 return _timeout_refusal()
             if not isinstance(event, h11.Data):
@@ -116,9 +115,10 @@
             left_bytes -= len(event.data)
             if left_bytes < 0:
                 return bad_request("The body is too large.", status=413, closes=True)
-            if not share.take(len(event.data)):
+            if not body.add(event.data):
                 return _memory_refusal()
-            parts.append(bytes(event.data))
+            # Its bytes are not held while the next ones are awaited.
+            event = None
 
     def start_next_request(self):
         """Return whether the connection can be used for another request."""
