Read chunks and header lines in turns

A piece of 64 KB holds 9,362 such chunks; h11 makes an event of each, and nothing else ran until the piece was used up.

Change: `RequestFraming` passes to h11 only what it reads next: a head or trailer section whole, and chunks decoded and framed anew as one large chunk by `ChunkMerger`. After 512 chunks, and before a head of more than 64 lines, a connection waits for its turn, which one connection of a server has at a time; other callers are read in between. There is no limit on the number of chunks: a caller within the published limits could meet it.

--- a/siskinthread/http_server/_connection.py
+++ b/siskinthread/http_server/_connection.py
@@ -2,12 +2,14 @@
 
 import http.client
 
+import curio
 import h11
 
 from siskinthread.http_server._caller_socket import CallerSocket
 from siskinthread.http_server._head import RequestHead
 from siskinthread.http_server._phase import Phase
 from siskinthread.http_server._refusal import bad_request, refuse
+from siskinthread.http_server._request_framing import RequestFraming
 from siskinthread.outcomes import Reason
 
 RETRY_FULL_S = 1.0
@@ -40,18 +42,22 @@
 
     __slots__ = (
         "_ends_by_close",
+        "_framing",
         "_http",
         "_method",
         "_settings",
+        "_turns",
         "caller",
     )
 
     def __init__(self, socket, settings, clock, group):
         self.caller = CallerSocket(socket, settings, clock, group)
         self._settings = settings
+        self._turns = group.turns
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=settings.head_size_limit_bytes
         )
+        self._framing = RequestFraming(self._http, settings.head_size_limit_bytes)
         self._method = None
         # Whether the answer has no framing but the end of the connection.
         self._ends_by_close = False
@@ -76,6 +82,7 @@
             return _timeout_refusal()
         if not isinstance(event, h11.Request):
             return None
+        self._framing.begin_body(event)
         self.caller.enter(Phase.BODY, self._settings.body_limit_s)
         self._method = event.method
         self._ends_by_close = False
@@ -192,21 +199,27 @@
     async def _next_event(self):
         caller = self.caller
         while True:
+            if self._framing.is_costly:
+                # One caller at a time continues, so that others are served meanwhile.
+                async with self._turns:
+                    await curio.sleep(0)
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            if self._framing.pass_on():
+                continue
             if self._http.they_are_waiting_for_100_continue:
                 await self._write_continue()
-            if caller.phase is Phase.IDLE and self._http.trailing_data[0]:
+            if caller.phase is Phase.IDLE and self._framing.held_bytes():
                 caller.enter(Phase.HEAD, self._settings.head_limit_s)
             if not await self._receive_more():
                 return LIMIT_PASSED
 
     async def _receive_more(self):
         # A method of its own, so that no variable holds the bytes during a later wait.
-        data = await self.caller.receive(len(self._http.trailing_data[0]))
+        data = await self.caller.receive(self._framing.held_bytes())
         if data is not None:
-            self._http.receive_data(data)
+            self._framing.add(data)
         return data is not None
 
     async def _write_continue(self):
--- a/siskinthread/http_server/_input_memory.py
+++ b/siskinthread/http_server/_input_memory.py
@@ -1,5 +1,7 @@
 """Limit on the memory that the connections of all callers take."""
 
+import curio
+
 from siskinthread.http_server._phase import Phase
 from siskinthread.observability import part_logger
 
@@ -96,13 +98,16 @@
     ----------
     receive_buffer : memoryview
         Buffer into which the bytes of all connections are read.
+    turns : curio.Lock
+        Held in turn by connections whose input costs much processor time.
     """
 
-    __slots__ = ("_callers", "memory", "receive_buffer")
+    __slots__ = ("_callers", "memory", "receive_buffer", "turns")
 
     def __init__(self, memory):
         self.memory = memory
         self.receive_buffer = memoryview(bytearray(RECEIVE_SIZE_BYTES))
+        self.turns = curio.Lock()
         self._callers = {}
 
     @property
--- /dev/null
+++ b/siskinthread/http_server/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP server for callers."""
