--- a/siskinthread/gateway/_target_connection.py
+++ b/siskinthread/gateway/_target_connection.py
@@ -168,7 +168,7 @@
         self._request = h11.Request(method=method, target=path, headers=headers)
         self._body = body
         self._note_written = note_written
-        data = self._encode_request(body)
+        parts = self._encode_request(body)
         is_inline = len(body) <= INLINE_BODY_BYTES
         if self.was_used and is_inline:
             connections = self._settings.connections
@@ -178,10 +178,11 @@
             self.written = True
             self._sending_since_s = self._clock.monotonic_s()
             self._sent_bytes = 0
-            self._sender = await curio.spawn(self._send_all, data, daemon=True)
+            self._sender = await curio.spawn(self._send_all, parts, daemon=True)
             return
         try:
-            await curio.timeout_after(deadline.left_s(), self._send_all, data)
+            data = b"".join(parts)
+            await curio.timeout_after(deadline.left_s(), self._send_all, [data])
         except curio.TaskTimeout as error:
             raise TargetError("the target takes no bytes") from error
         except OSError as error:
@@ -348,17 +349,19 @@
         if body:
             parts.append(send(h11.Data(body)))
         parts.append(send(h11.EndOfMessage()))
-        return b"".join(parts)
-
-    async def _send_all(self, data):
-        while data:
-            sent_bytes = await self._socket.send(data)
-            self.written = True
-            if self._note_written is not None:
-                self._note_written()
-                self._note_written = None
-            self._sent_bytes += sent_bytes
-            data = memoryview(data)[sent_bytes:]
+        return parts
+
+    async def _send_all(self, parts):
+        """Send byte strings; a large body is not copied to join it with its head."""
+        for data in parts:
+            while data:
+                sent_bytes = await self._socket.send(data)
+                self.written = True
+                if self._note_written is not None:
+                    self._note_written()
+                    self._note_written = None
+                self._sent_bytes += sent_bytes
+                data = memoryview(data)[sent_bytes:]
 
     async def _receive_any_head(self, deadline):
         for _ in range(INFORMATIONAL_LIMIT):
