Take no bodies at the ports for readiness and for peers

What was seen: bodies to a status page filled the memory for bodies for good.

Cause: the session of a status page reserved memory for the body of each request and never released it; later requests of callers were refused with 503 until a restart. Its servers accepted 3,000 connections each, as many as callers may have.

Change: a request with a body gets 400 and its connection is closed. The two servers have `status_connections_limit` connections each and share the limit on their memory with the connections of callers.

--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -12,6 +12,7 @@
 from siskinthread.gateway._status import (
     STATUS_OK,
     STATUS_UNAVAILABLE,
+    StatusLimits,
     StatusPage,
     StatusSession,
 )
@@ -321,7 +322,7 @@
             return StatusSession(connection, self._context, pages)
 
         server = ConnectionServer(
-            self._settings,
+            StatusLimits(self._settings),
             self._context,
             open_session,
             self._clock,
--- a/siskinthread/gateway/_settings.py
+++ b/siskinthread/gateway/_settings.py
@@ -28,6 +28,13 @@
         "of the 4,100 file descriptors of the smallest entry hosts; connections to "
         "targets use the rest.",
     )
+    status_connections_limit = Item(
+        int,
+        default=128,
+        minimum=1,
+        description="Maximum number of concurrent connections to each of the ports for "
+        "readiness and for peers.",
+    )
     head_size_limit_bytes = Item(
         int,
         default=16_384,
--- a/siskinthread/gateway/_status.py
+++ b/siskinthread/gateway/_status.py
@@ -1,6 +1,6 @@
 """Status pages of the process over HTTP, such as readiness and metrics."""
 
-from siskinthread.http_server import Session
+from siskinthread.http_server import bad_request, Session
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -8,6 +8,29 @@
 TEXT_TYPE = "text/plain; charset=utf-8"
 
 
+class StatusLimits:
+    """Settings of the servers of status pages.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        All settings; of them, the number of connections differs.
+    """
+
+    __slots__ = ("_settings",)
+
+    def __init__(self, settings):
+        self._settings = settings
+
+    @property
+    def connections_limit(self):
+        """Maximum number of concurrent connections."""
+        return self._settings.status_connections_limit
+
+    def __getattr__(self, name):
+        return getattr(self._settings, name)
+
+
 class StatusPage:
     """A status page.
 
@@ -47,6 +70,8 @@
 
     async def answer(self, head):
         """Answer one request; return whether the connection may be reused."""
+        if head.has_body():
+            return await self.refuse(bad_request("A status page takes no body."))
         body = await self.connection.read_body(self.context.bodies.body())
         if not isinstance(body, bytes):
             return await self.refuse(body)
