Keep descriptors free beside idle connections

What was seen: 900 idle connections leave a process 916 descriptors open where 600 are its limit; none is left for targets and the store then.

Cause: the limit on connections was 3,000 whatever `limits.max_fds` says, and a host with 2,870 descriptors can't hold them. Idle connections kept new callers out.

Change: callers may use three quarters of the descriptors that are not reserved for files. At the limit the connection that has waited for its caller for longest, 1 s at least, is closed for a new one.

--- a/siskinthread/http_server/_input_memory.py
+++ b/siskinthread/http_server/_input_memory.py
@@ -124,3 +124,16 @@
         """Remove a connection."""
         self._callers.pop(caller, None)
         self.memory.leave(caller)
+
+    async def end_stalest(self, until_s):
+        """End the waiting connection without progress for longest.
+
+        Parameters
+        ----------
+        until_s : float
+            Latest progress of a connection that is ended, monotonic seconds.
+        """
+        waiting = [one for one in self._callers if one.is_waiting]
+        stalest = min(waiting, key=lambda one: one.progressed_at_s, default=None)
+        if stalest is not None and stalest.progressed_at_s <= until_s:
+            await stalest.evict()
--- a/siskinthread/http_server/_server.py
+++ b/siskinthread/http_server/_server.py
@@ -21,6 +21,8 @@
 RESTART_PAUSE_S = 0.1
 # Connections that are accepted before other tasks have their turn.
 ACCEPTS_PER_TURN = 16
+# Beyond the limit, a connection that waited for its caller for so long is ended.
+STALE_S = 1.0
 # If accepting takes longer, the kernel's accept queue is considered empty.
 QUEUE_EMPTY_TIMEOUT_S = 0.01
 # A longer interval between rounds of the watchdog means that the process was paused.
@@ -216,6 +218,8 @@
 
     async def _start_session(self, socket):
         limit = self._settings.connections_limit
+        if self._group.count >= limit:
+            await self._group.end_stalest(self._clock.monotonic_s() - STALE_S)
         memory = self._group.memory
         if memory.is_over:
             await memory.make_room()
--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -218,7 +218,10 @@
     """Return the gateway settings with the limits that the platform states."""
     cold = gateway.cold.with_values(**settings.cold_limits)
     return gateway.with_values(
-        cold=cold, **settings.retry_limits, **settings.memory_limits
+        cold=cold,
+        **settings.retry_limits,
+        **settings.memory_limits,
+        **settings.descriptor_limits,
     )
 
 
--- a/siskinthread/platform/_host_settings.py
+++ b/siskinthread/platform/_host_settings.py
@@ -16,6 +16,10 @@
     "slow_readers_limit_bytes": 1 / 4,
     "connections_limit_bytes": 1 / 6,
 }
+# Descriptors that the platform reserves for files, and the part of the others that
+# connections of callers may use; connections to targets and status pages use the rest.
+FILE_DESCRIPTORS = 200
+CALLERS_SHARE = 3 / 4
 
 
 class HostSettings:
@@ -50,11 +54,15 @@
     memory_limits : dict of str to int
         Gateway settings on buffers for callers and targets, derived from the host's
         memory; empty if the memory is not stated.
+    descriptor_limits : dict of str to int
+        Gateway settings on connections, derived from the process's descriptors; empty
+        if their number is not stated.
     """
 
     __slots__ = (
         "callers_listen",
         "cold_limits",
+        "descriptor_limits",
         "failure_domain",
         "first_peers",
         "host",
@@ -83,6 +91,7 @@
         retry_limits,
         cold_limits,
         memory_limits,
+        descriptor_limits,
     ):
         self.host = host
         self.failure_domain = failure_domain
@@ -97,6 +106,7 @@
         self.retry_limits = retry_limits
         self.cold_limits = cold_limits
         self.memory_limits = memory_limits
+        self.descriptor_limits = descriptor_limits
 
 
 def read_host_settings(text, source_name):
@@ -139,6 +149,7 @@
         retry_limits=_read_retry_limits(reader),
         cold_limits=_read_cold_limits(reader),
         memory_limits=_read_memory_limits(reader),
+        descriptor_limits=_read_descriptor_limits(reader),
     )
     if reader.problems:
         raise SettingsError(reader.problems)
@@ -179,6 +190,14 @@
     }
 
 
+def _read_descriptor_limits(reader):
+    count = reader.value("limits.max_fds", int, required=False)
+    if count is None:
+        return {}
+    limit = round((count - FILE_DESCRIPTORS) * CALLERS_SHARE)
+    return {"connections_limit": max(1, limit)}
+
+
 class _FieldReader:
     """Reads values by dotted names and collects all problems."""
 
--- a/siskinthread/platform/tests/test_decoding.py
+++ b/siskinthread/platform/tests/test_decoding.py
@@ -88,6 +88,14 @@
     }
 
 
+def test_descriptors_of_the_process_limit_connections():
+    """Guards against connections of callers that leave none for targets."""
+    assert read_host_settings(SETTINGS_TEXT, "settings.toml").descriptor_limits == {}
+    text = SETTINGS_TEXT + "[limits]\nmax_fds = 2870\n"
+    limits = read_host_settings(text, "settings.toml").descriptor_limits
+    assert limits == {"connections_limit": 2002}
+
+
 @pytest.mark.parametrize(
     ("old", "new", "message"),
     [
