Let bodies that stand still make room for others

What was seen: beside 100 bodies that stand still before their last byte a body of 500 kB is refused with 503 on, until their time for the body, 10 s, is over.

Cause: whoever came first held the memory for bodies, also without sending anything.

Change: if the memory is full, incomplete bodies that grew by less than 4 KB in 0.5 s are given up, the longest first, then those that are larger than the growing one, the largest first. Their callers get 503 with a retry time; no target has got the request. Nothing is given up while there is room, so a slow caller in calm is served.

--- a/siskinthread/callers/_context.py
+++ b/siskinthread/callers/_context.py
@@ -80,7 +80,7 @@
         self.metrics = metrics
         self.connected_hosts = connected_hosts
         self.request_ids = request_ids
-        self.bodies = RequestBodies(settings.bodies_limit_bytes)
+        self.bodies = RequestBodies(settings.bodies_limit_bytes, clock)
         self.drain = DrainState()
         self.draining = False
         self.closing = False
--- a/siskinthread/gateway/_context.py
+++ b/siskinthread/gateway/_context.py
@@ -79,7 +79,7 @@
         self.view = view
         self.parts = parts
         self.ended_count = ended_count
-        self.bodies = RequestBodies(settings.bodies_limit_bytes)
+        self.bodies = RequestBodies(settings.bodies_limit_bytes, parts.clock)
         self.drain = DrainState()
         self.draining = False
         self.closing = False
--- a/siskinthread/http_server/_body_budget.py
+++ b/siskinthread/http_server/_body_budget.py
@@ -20,9 +20,13 @@
         """Return a new `BodyShare` for one request."""
         return BodyShare(self)
 
+    def fits(self, size_bytes):
+        """Return whether more bytes fit into the budget."""
+        return self.held_bytes + size_bytes <= self._limit_bytes
+
     def take(self, size_bytes):
         """Reserve bytes; return whether they fit into the budget."""
-        if self.held_bytes + size_bytes > self._limit_bytes:
+        if not self.fits(size_bytes):
             return False
         self.held_bytes += size_bytes
         return True
--- a/siskinthread/http_server/_caller_socket.py
+++ b/siskinthread/http_server/_caller_socket.py
@@ -67,6 +67,7 @@
         "_incoming",
         "_incoming_bytes",
         "_interrupted",
+        "_is_awaited",
         "_limit_passed",
         "_progress_bytes",
         "_reader",
@@ -92,6 +93,7 @@
         self._unused_bytes = 0
         self._incoming = bytearray()
         self._incoming_bytes = 0
+        self._is_awaited = True
         self._progress_bytes = 0
         self.progressed_at_s = clock.monotonic_s()
         self._interrupted = False
@@ -150,6 +152,11 @@
         self._group.leave(self)
         await self._interrupt(Ending.MEMORY)
 
+    async def end_waiting(self):
+        """End the wait for input, which then returns as at a time limit."""
+        self._is_awaited = False
+        await self._input_changed.set()
+
     async def expire(self):
         """Handle the expiry of the phase's time limit.
 
@@ -167,6 +174,7 @@
     def enter(self, phase, limit_s):
         """Enter a phase that may take `limit_s` seconds."""
         self.phase = phase
+        self._is_awaited = True
         self._limit_passed = False
         self.progressed_at_s = self._clock.monotonic_s()
         self.expires_at_s = self.progressed_at_s + limit_s
@@ -187,13 +195,16 @@
         Returns
         -------
         bytes or None
-            Empty at the end of the input; None if the phase's time limit has passed.
+            Empty at the end of the input; None if the phase's time limit has passed or
+            the input is no longer awaited.
         """
         self._unused_bytes = unused_bytes
         self._count_input()
         while not self._incoming:
             if self.caller_left:
                 return b""
+            if not self._is_awaited:
+                return None
             if self._limit_passed:
                 self.ending = self.ending or ENDING_BY_PHASE[self.phase]
                 return None
--- a/siskinthread/http_server/_connection.py
+++ b/siskinthread/http_server/_connection.py
@@ -107,11 +107,14 @@
             Holds the bytes of the body.
         """
         left_bytes = self._settings.body_size_limit_bytes
+        body.begin(self.caller)
         while True:
             try:
                 event = await self._next_event()
             except h11.RemoteProtocolError as error:
                 return _protocol_refusal(error)
+            if body.is_evicted:
+                return _memory_refusal()
             if isinstance(event, h11.EndOfMessage):
                 self.caller.enter_answer()
                 return body.complete()
@@ -122,7 +125,7 @@
             left_bytes -= len(event.data)
             if left_bytes < 0:
                 return bad_request("The body is too large.", status=413, closes=True)
-            if not body.add(event.data):
+            if not await body.add(event.data):
                 return _memory_refusal()
             # Its bytes are not held while the next ones are awaited.
             event = None
