Count the memory of heads with many lines

What was seen: 400 callers with a head of 3,500 short lines and a body that does not come take 147 MB where 80 are the limit on.

Cause: a header line of 4 bytes becomes objects of some hundred; a head of 16 KB takes several hundred KB until its request ends, which nothing counted.

Change: a connection counts the head of its current request by size and lines.

--- a/siskinthread/http_server/_caller_socket.py
+++ b/siskinthread/http_server/_caller_socket.py
@@ -64,6 +64,7 @@
         "_input_changed",
         "_clock",
         "_group",
+        "_head_bytes",
         "_incoming",
         "_incoming_bytes",
         "_interrupted",
@@ -91,6 +92,7 @@
         self._clock = clock
         self._group = group
         self._unused_bytes = 0
+        self._head_bytes = 0
         self._incoming = bytearray()
         self._incoming_bytes = 0
         self._is_awaited = True
@@ -184,6 +186,13 @@
         self.phase = Phase.ANSWER
         self.expires_at_s = None
 
+    async def hold_head(self, size_bytes):
+        """Count the memory of the head of the current request; 0 bytes without one."""
+        self._head_bytes = size_bytes
+        self._count_input()
+        if self._group.memory.is_over:
+            await self._group.memory.make_room()
+
     async def receive(self, unused_bytes=0):
         """Return the next bytes from the caller.
 
@@ -292,8 +301,8 @@
         self.caller_left = not size_bytes
 
     def _count_input(self):
-        """Count the memory of the connection with its unused input."""
-        size_bytes = self._incoming_bytes + self._unused_bytes
+        """Count the memory of the connection, its request's head and unused input."""
+        size_bytes = self._incoming_bytes + self._unused_bytes + self._head_bytes
         if size_bytes or self.phase is not Phase.IDLE:
             size_bytes += KERNEL_BUFFER_FACTOR * self._settings.receive_buffer_bytes
         self._group.memory.count(self, CONNECTION_BYTES + size_bytes)
--- a/siskinthread/http_server/_connection.py
+++ b/siskinthread/http_server/_connection.py
@@ -16,6 +16,8 @@
 STATUS_WITHOUT_BODY = (204, 304)
 # Callers with an older HTTP version get no chunked encoding.
 FIRST_CHUNKED_VERSION = b"1.1"
+# Memory of a header beside its text, as received and as sent to a target.
+HEADER_BYTES = 320
 # Returned instead of an h11 event when a time limit has passed.
 LIMIT_PASSED = object()
 
@@ -73,6 +75,7 @@
             Maximum time to wait for the first byte, seconds.
         """
         self.caller.enter(Phase.IDLE, idle_limit_s)
+        await self.caller.hold_head(0)
         self._method = None
         try:
             event = await self._next_event()
@@ -83,10 +86,12 @@
         if not isinstance(event, h11.Request):
             return None
         self._framing.begin_body(event)
+        size_bytes = _size_bytes(event)
+        await self.caller.hold_head(size_bytes + HEADER_BYTES * len(event.headers))
         self.caller.enter(Phase.BODY, self._settings.body_limit_s)
         self._method = event.method
         self._ends_by_close = False
-        if _size_bytes(event) > self._settings.head_size_limit_bytes:
+        if size_bytes > self._settings.head_size_limit_bytes:
             return bad_request("The head is too large.", status=431, closes=True)
         return RequestHead(
             event.method.decode("ascii"),
