Trim the heap after pressure on memory

Cause: buffers are freed in another order than they were allocated, which leaves gaps that the C library keeps.

Change: while a limit on memory is reached, and 20 s longer, the watchdog trims the heap twice a second.

--- a/siskinthread/callers/_context.py
+++ b/siskinthread/callers/_context.py
@@ -31,6 +31,8 @@
         Returns the target hosts that are connected.
     request_ids : callable
         Returns a new request id.
+    heap : siskinthread.http_server.HeapTrimmer
+        Trims the heap when memory is short.
 
     Attributes
     ----------
@@ -71,6 +73,7 @@
         metrics,
         connected_hosts,
         request_ids,
+        heap,
     ):
         self.settings = settings
         self.view = view
@@ -80,7 +83,7 @@
         self.metrics = metrics
         self.connected_hosts = connected_hosts
         self.request_ids = request_ids
-        self.bodies = RequestBodies(settings.bodies_limit_bytes, clock)
+        self.bodies = RequestBodies(settings.bodies_limit_bytes, clock, heap)
         self.drain = DrainState()
         self.draining = False
         self.closing = False
--- a/siskinthread/callers/_server.py
+++ b/siskinthread/callers/_server.py
@@ -45,7 +45,7 @@
         connected_hosts=_unknown_hosts,
         request_ids=random_request_id,
     ):
-        memory = InputMemory(settings.connections_limit_bytes)
+        memory = InputMemory(settings.connections_limit_bytes, clock)
         context = CallerContext(
             settings,
             view,
@@ -55,6 +55,7 @@
             metrics,
             connected_hosts,
             request_ids,
+            memory.heap,
         )
         open_count = metrics.gauge("callers_connections", "Connections that are open.")
         super().__init__(
--- a/siskinthread/callers/tests/test_limits.py
+++ b/siskinthread/callers/tests/test_limits.py
@@ -103,7 +103,7 @@
 
     async def run():
         ours, theirs = socket.socketpair()
-        group = CallerGroup(InputMemory(0))
+        group = CallerGroup(InputMemory(0, ManualClock()))
         caller = CallerSocket(ours, CallerSettings(), ManualClock(), group)
         await caller.open()
         caller.enter(Phase.HEAD, 1.0)
--- a/siskinthread/gateway/_context.py
+++ b/siskinthread/gateway/_context.py
@@ -49,6 +49,8 @@
         Dependencies whose answers confirm the route table.
     ended_count : prometheus_client.Counter
         Number of connections that were closed early, by cause.
+    heap : siskinthread.http_server.HeapTrimmer
+        Trims the heap when memory is short.
 
     Attributes
     ----------
@@ -74,12 +76,12 @@
         "view",
     )
 
-    def __init__(self, settings, view, parts, dependencies, ended_count):
+    def __init__(self, settings, view, parts, dependencies, ended_count, heap):
         self.settings = settings
         self.view = view
         self.parts = parts
         self.ended_count = ended_count
-        self.bodies = RequestBodies(settings.bodies_limit_bytes, parts.clock)
+        self.bodies = RequestBodies(settings.bodies_limit_bytes, parts.clock, heap)
         self.drain = DrainState()
         self.draining = False
         self.closing = False
--- a/siskinthread/gateway/_gateway.py
+++ b/siskinthread/gateway/_gateway.py
@@ -121,13 +121,14 @@
             ("cause",),
         )
         # The servers of status pages share the limit.
-        self._input_memory = InputMemory(settings.connections_limit_bytes)
+        self._input_memory = InputMemory(settings.connections_limit_bytes, clock)
         self._context = GatewayContext(
             live,
             self.view,
             self.parts,
             [self._table_follower.dependency],
             ended_count,
+            self._input_memory.heap,
         )
         limited = metrics.gauge(
             "gateway_limited_targets", "Targets that have named a limit."
--- a/siskinthread/http_server/_input_memory.py
+++ b/siskinthread/http_server/_input_memory.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from siskinthread.http_server._heap_trimmer import HeapTrimmer
 from siskinthread.http_server._phase import Phase
 from siskinthread.observability import part_logger
 
@@ -22,9 +23,13 @@
     ----------
     limit_bytes : int
         Maximum for all connections; 0 for no limit.
+    clock : siskinthread.timing.Clock
+        Clock of `heap`.
 
     Attributes
     ----------
+    heap : HeapTrimmer
+        Trims the heap when memory is short.
     held_bytes : int
         Memory of all connections, with what they have received and not used yet.
 
@@ -35,9 +40,10 @@
     kept.
     """
 
-    __slots__ = ("_callers", "_limit_bytes", "held_bytes")
+    __slots__ = ("_callers", "_limit_bytes", "heap", "held_bytes")
 
-    def __init__(self, limit_bytes):
+    def __init__(self, limit_bytes, clock):
+        self.heap = HeapTrimmer(clock)
         self._limit_bytes = limit_bytes
         self._callers = {}
         self.held_bytes = 0
@@ -64,6 +70,7 @@
 
     async def make_room(self):
         """End waiting connections until the others take less than the limit."""
+        self.heap.note_pressure()
         goal_bytes = self._limit_bytes * (1 - FREED_SHARE)
         ended_count = 0
         for caller in self._by_progress():
--- a/siskinthread/http_server/_request_body.py
+++ b/siskinthread/http_server/_request_body.py
@@ -19,6 +19,8 @@
         Maximum number of bytes in memory at once.
     clock : siskinthread.timing.Clock
         Clock of the progress of bodies.
+    heap : HeapTrimmer
+        Trims the heap when memory is short.
 
     Notes
     -----
@@ -28,9 +30,10 @@
     stop before the end, don't keep out the others (max-min fairness).
     """
 
-    __slots__ = ("_budget", "_clock", "_receiving")
+    __slots__ = ("_budget", "_clock", "_heap", "_receiving")
 
-    def __init__(self, limit_bytes, clock):
+    def __init__(self, limit_bytes, clock, heap):
+        self._heap = heap
         self._budget = BodyBudget(limit_bytes)
         self._clock = clock
         self._receiving = {}
@@ -62,6 +65,7 @@
         size_bytes : int
             Number of bytes.
         """
+        self._heap.note_pressure()
         stalled_at_s = self._clock.monotonic_s() - STALLED_S
         others = [one for one in self._receiving if one is not growing]
         stalled = [one for one in others if one.progressed_at_s <= stalled_at_s]
--- a/siskinthread/http_server/_server.py
+++ b/siskinthread/http_server/_server.py
@@ -279,6 +279,7 @@
                 caller = connection.caller
                 if caller.expires_at_s is not None and caller.expires_at_s <= now_s:
                     await caller.expire()
+            self._group.memory.heap.trim_if_due()
             if self._held_limit_bytes:
                 await self._limit_held_bytes()
 
