Cut long texts in the log lines of decisions

Cause: a line holds the id that a caller chose, up to 16 KB, and up to 10,000 lines wait in memory while the stream is blocked: 160 MB (calculated). Found by reading; not seen.

Change: texts of over 512 characters are cut. The test fails before with a line of 16,000 characters.

--- a/siskinthread/observability/_logging.py
+++ b/siskinthread/observability/_logging.py
@@ -14,6 +14,9 @@
 _FORMAT = "%(asctime)s %(levelname)s %(message)s"
 _WAITING_LIMIT_RECORDS = 10_000
 _CLOSE_WAIT_S = 2.0
+# Longer texts are cut: a caller may choose an id as long as a head may be, and lines
+# wait in memory while the stream is blocked.
+_TEXT_LIMIT_CHARS = 512
 
 
 class PartLogger(logging.LoggerAdapter):
@@ -40,9 +43,12 @@
         message : str
             Constant text that names the decision.
         **fields
-            Values that can be serialised as JSON.
+            Values that can be serialised as JSON; long texts are cut.
         """
         if self.isEnabledFor(logging.INFO):
+            for name, value in fields.items():
+                if isinstance(value, str) and len(value) > _TEXT_LIMIT_CHARS:
+                    fields[name] = value[:_TEXT_LIMIT_CHARS] + "..."
             self.info("%s", message, extra={"event_fields": fields})
 
 
--- a/siskinthread/observability/tests/test_logging.py
+++ b/siskinthread/observability/tests/test_logging.py
@@ -67,6 +67,14 @@
     )
 
 
+def test_long_texts_of_an_event_are_cut():
+    """Guards against ids of callers that fill the memory while the log is blocked."""
+    event = part_logger("gateway").event
+    (line,) = lines_of("info", lambda: event("request ended", id="x" * 16_000, age_s=1))
+    assert len(line) < 1000
+    assert line.endswith("xxx... age_s=1")
+
+
 def test_traceback_stays_on_the_line_of_its_event():
     """A traceback is written once, on the line of its event."""
 
