Close the oldest status connection of an agent for a new one

Cause: the port for metrics and readiness of an agent accepted any number of connections, each open for up to 5 s without a request, and an error of accepting ended its task. Idle ones could use up the descriptors that links of entries need. Found by reading.

Change: beyond 64 connections the oldest is closed; errors of accepting are logged and accepting goes on. The test failed before with a time-out.

--- a/siskinthread/execution/_status.py
+++ b/siskinthread/execution/_status.py
@@ -7,6 +7,8 @@
 
 RECEIVE_SIZE_BYTES = 16 * 1024
 REQUEST_WAIT_S = 5.0
+CONNECTIONS_LIMIT = 64
+ACCEPT_RETRY_WAIT_S = 0.1
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 TEXT_TYPE = "text/plain; charset=utf-8"
 OK = 200
@@ -19,6 +21,8 @@
 class StatusServer:
     """Answers one request per connection.
 
+    Beyond `CONNECTIONS_LIMIT` the oldest connection is closed for a new one.
+
     Parameters
     ----------
     metrics : Metrics
@@ -27,11 +31,13 @@
         Returns the reason why the process is not ready, or None if it is ready.
     """
 
-    __slots__ = ("_metrics", "_unready_reason")
+    __slots__ = ("_connections", "_metrics", "_unready_reason")
 
     def __init__(self, metrics, unready_reason):
         self._metrics = metrics
         self._unready_reason = unready_reason
+        # Tasks in the order of their start.
+        self._connections = {}
 
     async def run(self, listening_socket):
         """Serve until cancelled.
@@ -42,8 +48,20 @@
             A listening socket.
         """
         while True:
-            socket, _ = await listening_socket.accept()
-            await curio.spawn(self._serve, socket, daemon=True)
+            try:
+                socket, _ = await listening_socket.accept()
+            except OSError as error:
+                _logger.warning("Can't accept a status request: %s.", error)
+                await curio.sleep(ACCEPT_RETRY_WAIT_S)
+                continue
+            if len(self._connections) >= CONNECTIONS_LIMIT:
+                oldest = next(iter(self._connections))
+                del self._connections[oldest]
+                await oldest.cancel(blocking=False)
+            task = await curio.spawn(self._serve, socket, daemon=True)
+            self._connections[task] = None
+            # Ended connections are closed before the next one is accepted.
+            await curio.sleep(0)
 
     async def _serve(self, socket):
         try:
@@ -51,6 +69,7 @@
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
             _logger.info("Status request failed: %r.", error)
         finally:
+            self._connections.pop(await curio.current_task(), None)
             await socket.close()
 
     async def _answer(self, socket):
--- a/siskinthread/execution/tests/test_status.py
+++ b/siskinthread/execution/tests/test_status.py
@@ -4,6 +4,7 @@
 import pytest
 
 from siskinthread.execution import StatusServer
+from siskinthread.execution._status import CONNECTIONS_LIMIT, REQUEST_WAIT_S
 from siskinthread.observability import Metrics
 
 TEST_LIMIT_S = 8.0
@@ -50,3 +51,24 @@
         answer += received
     await client.close()
     return answer
+
+
+def test_idle_connections_give_way_to_new_ones():
+    """Guards against idle connections that use up the descriptors of an agent."""
+
+    async def main():
+        socket = curio.network.tcp_server_socket("127.0.0.1", 0)
+        address = socket.getsockname()
+        server = await curio.spawn(StatusServer(Metrics(), lambda: None).run, socket)
+        idle = [
+            await curio.open_connection(*address) for _ in range(CONNECTIONS_LIMIT + 10)
+        ]
+        answer = await exchange(address, b"GET /readyz HTTP/1.1\r\nhost: a\r\n\r\n")
+        assert b"ready\n" in answer
+        assert await idle[0].recv(1) == b""
+        await server.cancel()
+
+    async def bounded():
+        await curio.timeout_after(REQUEST_WAIT_S / 2, main)
+
+    curio.run(bounded)
