--- a/siskinthread/callers/_settings.py
+++ b/siskinthread/callers/_settings.py
@@ -34,7 +34,7 @@
     )
     connections_limit_bytes = Item(
         int,
-        default=134_217_728,
+        default=50_331_648,
         minimum=0,
         description="Memory for the connections of callers, with what they have sent "
         "and what is not used yet; 0 for no limit. Beyond it, connections that wait "
