End connections of refused callers that did not wait

What was seen: in one of three runs of test_crowds.py [requests behind unread answers] an ordinary caller, which waits as long as it is told, was refused for 60 s beside the crowd (all 12 attempts of a trial: 503, targets full). The targets' slots went to 201 callers whose next requests were on the connection already when the last was refused.

Cause: a refused request was followed at once by the next one on its connection, whatever `Retry-After` said, so that who doesn't wait had all the turns.

Change: a refusal with a time to retry ends its connection if more input has arrived. What is unread was not run; its caller may send it on a new connection.

`test_request_sent_without_waiting_after_a_refusal_ends_the_connection` failed before with two refusals.

--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -86,6 +86,7 @@
             request_id, refusal.end.retry_after_s
         )
         closes = refusal.closes or in_transfer or self.context.draining
+        closes = closes or self._has_not_waited(refusal.end)
         if closes:
             headers.append(("connection", "close"))
         body = error_body(refusal.end)
@@ -160,7 +161,11 @@
                 message = "The caller left before it was sent to a target."
                 end = End(Outcome.REFUSED_NOT_RUN, Reason.CANCELLED, message)
             self._log(request, reply.status, end, forwarding.describe(), reply)
-        return reply.has_ended
+        return reply.has_ended and not self._has_not_waited(end)
+
+    def _has_not_waited(self, end):
+        """Return whether a refused caller has sent more before the time to retry."""
+        return end.retry_after_s is not None and self.connection.has_unread_input()
 
     def _log(self, request, status, end, attempts, reply=None):
         now_s = self.context.parts.clock.monotonic_s()
--- a/siskinthread/http_server/_caller_socket.py
+++ b/siskinthread/http_server/_caller_socket.py
@@ -116,6 +116,11 @@
         """Whether the connection is served and waits for its caller."""
         return self._serving_task is not None and self.phase in WAITING_PHASES
 
+    @property
+    def has_input(self):
+        """Whether bytes have arrived that were not returned yet."""
+        return self._incoming_bytes > 0
+
     def join(self):
         """Count the connection among those of its server."""
         self._group.join(self)
--- a/siskinthread/http_server/_connection.py
+++ b/siskinthread/http_server/_connection.py
@@ -135,6 +135,10 @@
             # Its bytes are not held while the next ones are awaited.
             event = None
 
+    def has_unread_input(self):
+        """Return whether the caller has sent more than the current request."""
+        return bool(self._framing.held_bytes() or self.caller.has_input)
+
     def start_next_request(self):
         """Return whether the connection can be used for another request."""
         if self._http.our_state is not h11.DONE:
--- a/siskinthread/platform/tests/test_path.py
+++ b/siskinthread/platform/tests/test_path.py
@@ -289,3 +289,18 @@
     assert seen.body == b"abcde"
     assert seen.headers["content-length"] == "5"
     assert "transfer-encoding" not in seen.headers
+
+
+def test_request_sent_without_waiting_after_a_refusal_ends_the_connection():
+    """Guards against callers that keep targets busy by not waiting between retries."""
+
+    async def test(system):
+        one = system.request_bytes(SAFE_PATH)
+        client = await system.connect()
+        await client.sendall(one + system.request_bytes(SAFE_PATH))
+        received = b""
+        while more := await client.recv(65_536):
+            received += more
+        return received.count(b"HTTP/1.1 503 "), b"retry-after" in received.lower()
+
+    assert run_system(test, server_count=0) == (1, True)
