Refuse a port of many digits in a target's entry

What callers saw: while one entry of another writer stood in the list of servers, no gateway that was started got ready, and none served a request.

Cause: the port of an entry was checked by `int`, which raises a plain ValueError for more than 4,300 digits. Only a DocumentError removes an entry from the list, so the error ended the task that reads the whole list, again after each restart.

Change: a port has at most five digits, checked before the conversion. The entry is then refused like any other malformed one.

The records of the operator are checked with the same values.

--- a/siskinthread/platform/_server_entry.py
+++ b/siskinthread/platform/_server_entry.py
@@ -13,6 +13,8 @@
 READY = "ready"
 DRAINING = "draining"
 PORT_LIMIT = 65_535
+# `int` raises an error for a text of several thousand digits.
+PORT_DIGITS_LIMIT = 5
 MILLISECONDS_PER_SECOND = 1000
 # Far above the value of any server; a larger number would not fit a float.
 COLD_LIMIT_MS = 86_400_000
@@ -133,7 +135,7 @@
             ipaddress.IPv4Address(host)
         except ValueError:
             self._refuse(name, value)
-        if not (port.isascii() and port.isdecimal() and 1 <= int(port) <= PORT_LIMIT):
+        if not _is_port(port):
             self._refuse(name, value)
         return host, int(port)
 
@@ -147,3 +149,10 @@
     def _refuse(self, name, value):
         shown = repr(value)[:80]
         raise DocumentError([f"{self._key}: {name} is {shown}"])
+
+
+def _is_port(text):
+    """Return whether a text is a port in decimal digits."""
+    if not (text.isascii() and text.isdecimal() and len(text) <= PORT_DIGITS_LIMIT):
+        return False
+    return 1 <= int(text) <= PORT_LIMIT
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -345,18 +345,38 @@
     return data
 
 
-def run_system(test, server_count=2, document=None, first_mode="up", **settings):
-    """Run an async test with a `System` whose parts have started."""
+def run_system(
+    test, server_count=2, document=None, first_mode="up", prepare=None, **settings
+):
+    """Run an async test with a `System` whose parts have started.
+
+    Parameters
+    ----------
+    test : callable
+        Async function of the `System`.
+    server_count : int
+        Number of servers, which are listed.
+    document : dict or None
+        The configuration; None for the usual one.
+    first_mode : str
+        Mode of the store as the gateway starts.
+    prepare : callable or None
+        Async function of the `System`, called before the gateway starts.
+    **settings
+        Settings of the gateway.
+    """
 
     async def main():
-        async with running(server_count, document, first_mode, settings) as system:
+        async with running(
+            server_count, document, first_mode, prepare, settings
+        ) as system:
             return await curio.timeout_after(HANG_S, test, system)
 
     return curio.run(main)
 
 
 @asynccontextmanager
-async def running(server_count, document, first_mode, settings):
+async def running(server_count, document, first_mode, prepare, settings):
     """Run a system for the duration of a block."""
     values = {"target_interval_s": 0.05, "source_retry_s": 0.02, "table_wait_s": 5.0}
     values |= {"table_pause_s": 0.02}
@@ -373,6 +393,8 @@
             await system.store.put("keyed.op", "config", document or published())
             await system.list_servers()
         system.store.mode = first_mode
+        if prepare is not None:
+            await prepare(system)
         await _start(system, stack)
         try:
             yield system
--- /dev/null
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -0,0 +1,81 @@
+"""Entries and records of another writer beside those of sound servers."""
+
+import pytest
+
+from siskinthread.platform._sources import PublishedTables
+from siskinthread.platform._store_records import KeyedRecord
+from siskinthread.platform.tests.system import (
+    listed,
+    run_system,
+    SAFE_PATH,
+    status_of,
+    until,
+)
+from standins.odd_entries import ODD_VALUES
+from standins.platform_server import PlatformServerStandin
+
+TARGETS = "keyed.servers"
+REQUESTS = 20
+SERVERS = 3
+
+
+def serve_beside(key, value_of):
+    """Run a gateway that starts while an odd entry is listed; check all that it serves.
+
+    Parameters
+    ----------
+    key : str
+        Key of the odd entry.
+    value_of : callable
+        Returns its bytes for the entry of a server that serves.
+    """
+
+    async def write_odd_entry(system):
+        value = value_of(listed(system.servers[0]))
+        await system.store.put_bytes(TARGETS, key, value)
+
+    async def send(system):
+        return [status_of(await system.request(SAFE_PATH)) for _ in range(REQUESTS)]
+
+    async def test(system):
+        first = await send(system)
+        known = {one.listed_id for one in system.gateway.parts.targets.entries()}
+        async with PlatformServerStandin("i-later") as later:
+            await system.store.put(TARGETS, "i-later", listed(later))
+            # The odd entry is written again, as its writer may do at any time.
+            await write_odd_entry(system)
+            await system.store.put(TARGETS, "i-0", None)
+            await until(lambda: listed_ids(system) == {"i-1", "i-2", "i-later"})
+            system.servers[0].seen.clear()
+            second = await send(system)
+            assert not system.servers[0].seen
+            assert later.seen
+        return known, first, second
+
+    known, first, second = run_system(test, SERVERS, prepare=write_odd_entry)
+    assert known == {"i-0", "i-1", "i-2"}
+    assert first == second == [200] * REQUESTS
+
+
+def listed_ids(system):
+    """Return the ids of the targets that a gateway may use."""
+    entries = system.gateway.parts.targets.entries()
+    return {one.listed_id for one in entries if not one.is_leaving}
+
+
+@pytest.mark.parametrize("value_of", ODD_VALUES.values(), ids=ODD_VALUES)
+def test_odd_entry_names_no_server_and_the_others_hold(value_of):
+    """Guards against an entry of another writer that keeps all servers from use."""
+    serve_beside("other", value_of)
+
+
+@pytest.mark.parametrize("value_of", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize("key", ["config", "evacuate/b", "other"])
+def test_odd_record_among_those_of_the_operator_changes_no_routes(key, value_of):
+    """Guards against an odd record that keeps a gateway without configuration."""
+    entry = {"service": "app", "address": "127.0.0.1:80", "slots": 1}
+    value = value_of(entry)
+    tables = PublishedTables(None)
+    assert tables.apply([KeyedRecord(key, value)]) == []
+    tables.evacuations.replace_all([KeyedRecord(key, value)])
+    assert tables.newest is None
--- a/standins/_http_server.py
+++ b/standins/_http_server.py
@@ -211,7 +211,7 @@
     return Request(
         head.method.decode("ascii"),
         unquote(target.path),
-        dict(parse_qsl(target.query)),
+        dict(parse_qsl(target.query, errors="surrogateescape")),
         {name.decode(): value.decode("latin-1") for name, value in head.headers},
         body,
     )
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -64,7 +64,8 @@
     async def append(self, record):
         """Add a record and wake the waiting readers."""
         key_end = 1 + record[0]
-        key, value = record[1:key_end].decode(), record[key_end:]
+        key = record[1:key_end].decode(errors="surrogateescape")
+        value = record[key_end:]
         if value:
             self.newest[key] = (self.end, value)
         else:
@@ -76,7 +77,7 @@
     async def drop_keys(self):
         """Drop every key, as when the writers stopped renewing their keys."""
         for key in list(self.newest):
-            await self.append(bytes([len(key)]) + key.encode())
+            await self.append(_keyed(key, b""))
 
     def forget(self):
         """Drop all records; the newest value of each key is retained."""
@@ -131,8 +132,21 @@
     async def put(self, topic, key, value):
         """Write the newest record of a key; None drops the key."""
         body = b"" if value is None else json.dumps(value).encode()
-        record = bytes([len(key)]) + key.encode() + body
-        await self._topic(topic).append(record)
+        await self.put_bytes(topic, key, body)
+
+    async def put_bytes(self, topic, key, body):
+        """Write the newest record of a key as another writer may, which checks nothing.
+
+        Parameters
+        ----------
+        topic : str
+            Name of the topic.
+        key : str
+            The key; surrogates U+DC80 to U+DCFF stand for bytes that are no UTF-8.
+        body : bytes
+            The value; empty to drop the key.
+        """
+        await self._topic(topic).append(_keyed(key, body))
 
     async def evacuate(self, domain):
         """Write the operator's record that a failure domain is evacuated."""
@@ -285,6 +299,12 @@
         await self._answer(exchange, 200, {})
 
 
+def _keyed(key, body):
+    """Return the bytes of a record."""
+    encoded = key.encode(errors="surrogateescape")
+    return bytes([len(encoded)]) + encoded + body
+
+
 def main():
     """Run the stand-in as a process."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
