Leave out entries whose id no header can hold

Cause: the id under which a target is listed is sent to it in the header that names the expected instance. An id with a line end, a NUL or a character beyond latin-1 can't be encoded; the error ended the connection of the caller whose request had chosen that target. Control bytes, blanks at the ends and latin-1 can be encoded, but don't name the server that is listed.

Evidence: on the code before, 12 of 12 odd ids fail test_entry_whose_id_can_not_be_sent_names_no_server; five of them by requests without an answer, the others as the entry counts as a target.

Change: an entry whose id isn't printable ASCII, is empty or has blanks at an end is malformed.

Result: 12 of 12 pass; the 44 odd values pass as before.

--- a/siskinthread/platform/_server_entry.py
+++ b/siskinthread/platform/_server_entry.py
@@ -92,6 +92,8 @@
     def __init__(self, key, document):
         self._key = key
         self._document = document
+        if not _can_be_sent(key):
+            raise DocumentError([f"{key!a}: no header can hold this id"])
         if not isinstance(document, dict):
             raise DocumentError([f"{key}: the entry is not a JSON object"])
 
@@ -151,6 +153,12 @@
         raise DocumentError([f"{self._key}: {name} is {shown}"])
 
 
+def _can_be_sent(server_id):
+    """Return whether an id is unchanged when it is sent as the value of a header."""
+    is_visible = server_id.isascii() and server_id.isprintable()
+    return is_visible and server_id == server_id.strip() != ""
+
+
 def _is_port(text):
     """Return whether a text is a port in decimal digits."""
     if not (text.isascii() and text.isdecimal() and len(text) <= PORT_DIGITS_LIMIT):
--- a/siskinthread/platform/tests/test_odd_entries.py
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -1,5 +1,7 @@
 """Entries and records of another writer beside those of sound servers."""
 
+import json
+
 import pytest
 
 from siskinthread.platform._sources import PublishedTables
@@ -11,7 +13,7 @@
     status_of,
     until,
 )
-from standins.odd_entries import ODD_VALUES
+from standins.odd_entries import ODD_KEYS, ODD_VALUES
 from standins.platform_server import PlatformServerStandin
 
 TARGETS = "keyed.servers"
@@ -69,6 +71,12 @@
     serve_beside("other", value_of)
 
 
+@pytest.mark.parametrize("key", ODD_KEYS.values(), ids=ODD_KEYS)
+def test_entry_whose_id_can_not_be_sent_names_no_server(key):
+    """Guards against requests without an answer, as no header can hold their server."""
+    serve_beside(key, lambda entry: json.dumps(entry).encode())
+
+
 @pytest.mark.parametrize("value_of", ODD_VALUES.values(), ids=ODD_VALUES)
 @pytest.mark.parametrize("key", ["config", "evacuate/b", "other"])
 def test_odd_record_among_those_of_the_operator_changes_no_routes(key, value_of):
--- a/standins/odd_entries.py
+++ b/standins/odd_entries.py
@@ -97,3 +97,18 @@
     "no JSON": _as_sent(b"\xff\xfe{]"),
     "a blank": _as_sent(b" "),
 }
+# Keys that can't be sent as the id of a server in a header.
+ODD_KEYS = {
+    "beyond latin-1": "i-\u4e2d",
+    "line end": "i-1\r\nX-A: b",
+    "NUL": "i-\0",
+    "control byte": "i-\x01",
+    "DEL": "i-\x7f",
+    "tab": "i-\t1",
+    "latin-1": "i-\u00e9",
+    "blank at the end": "i-1 ",
+    "blank at the start": " i-1",
+    "only a blank": " ",
+    "no UTF-8": "i-\udcff",
+    "empty": "",
+}
