Read on behind a key that is no UTF-8

What callers would see: an old list of targets on every host, and none after a start, once a page of the list ends at such a key.

Cause: the key at the end of a page is stated in the next call. JSON may hold surrogates, which UTF-8 can't encode, and the error ended the reader.

Change: the key is percent-encoded with its surrogates.

--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -129,7 +129,7 @@
         while True:
             target = f"/siskinthread/log-newest?topic={topic}&part={ONLY_PARTITION}"
             if after:
-                target += f"&after={quote(after, safe='')}"
+                target += f"&after={_quote_key(after)}"
             answer = await self._call("newest", "GET", target)
             page = parse_json(SERVICE, answer.body)
             try:
@@ -141,7 +141,7 @@
                 records += decoded_only(items, topic)
                 if not page["has_more"]:
                     return records, position
-                after = page["items"][-1]["key"]
+                after = str(page["items"][-1]["key"])
             except (KeyError, TypeError, ValueError, IndexError) as error:
                 raise _unreadable(error) from error
 
@@ -404,6 +404,15 @@
             raise SourceRestoredError(text)
 
 
+def _quote_key(key):
+    """Return a key in percent encoding; it may hold surrogates, as JSON allows them."""
+    try:
+        # The usual form of bytes that are no UTF-8.
+        return quote(key, safe="", errors="surrogateescape")
+    except UnicodeEncodeError:
+        return quote(key, safe="", errors="surrogatepass")
+
+
 def _is_gone(error):
     """Return whether an error says that the records at a position were dropped."""
     return isinstance(error, PlatformRefusedError) and error.status == STATUS_GONE
--- a/siskinthread/platform/tests/test_odd_entries.py
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
     status_of,
     until,
 )
+from standins import platform_store
 from standins.odd_entries import ODD_KEYS, ODD_VALUES
 from standins.platform_server import PlatformServerStandin
 
@@ -77,6 +78,14 @@
     serve_beside(key, lambda entry: json.dumps(entry).encode())
 
 
+@pytest.mark.parametrize("key", ODD_KEYS.values(), ids=ODD_KEYS)
+def test_odd_key_at_the_end_of_a_page_hides_no_entry(key, monkeypatch):
+    """Guards against a list that ends at a key that the next call can't state."""
+    monkeypatch.setattr(platform_store, "PAGE_ITEMS", 1)
+    # Sorts before the keys of the servers, so that another page follows.
+    serve_beside("a" + key, lambda entry: b"7")
+
+
 @pytest.mark.parametrize("value_of", ODD_VALUES.values(), ids=ODD_VALUES)
 @pytest.mark.parametrize("key", ["config", "evacuate/b", "other"])
 def test_odd_record_among_those_of_the_operator_changes_no_routes(key, value_of):
