Accept records of the store in UTF-8 only

What callers would see: a gateway that can't read the store itself, but learns the list from a peer, gets none while such an entry stands; no peer can hand it out.

Cause: `json.loads` of bytes accepts UTF-16, UTF-32 and surrogates encoded as bytes. The pages for peers hold the store's own records as text and decode them as UTF-8; the error ended each of these pages. Requests were served.

Evidence: with the pages checked beside each of the odd values, UTF-16, UTF-32 and surrogates as bytes fail on the code before with UnicodeDecodeError, the others pass.

Change: a record is decoded as UTF-8, with or without a byte order mark, before it is read as JSON; another encoding is unreadable like other bytes.

Result: the three pass, and all others as before.

--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -241,10 +241,11 @@
     Raises
     ------
     DocumentError
-        If the value is not JSON, or nested too deeply to be decoded.
+        If the value is not JSON in UTF-8, or nested too deeply to be decoded.
     """
     try:
-        return json.loads(record.value)
+        # `json` also accepts other encodings, which the documents for peers can't hold.
+        return json.loads(record.value.decode("utf-8-sig"))
     except (ValueError, RecursionError) as error:
         raise DocumentError([f"{record.key}: {error!r}"[:REASON_LIMIT]]) from error
 
--- a/siskinthread/platform/tests/test_odd_entries.py
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from siskinthread.platform._reader_pages import ReaderPages
 from siskinthread.platform._sources import PublishedTables
 from siskinthread.platform._store_records import KeyedRecord
 from siskinthread.platform.tests.system import (
@@ -13,6 +14,7 @@
     status_of,
     until,
 )
+from siskinthread.timing import SYSTEM_CLOCK
 from standins import platform_store
 from standins.odd_entries import ODD_KEYS, ODD_VALUES
 from standins.platform_server import PlatformServerStandin
@@ -20,6 +22,7 @@
 TARGETS = "keyed.servers"
 REQUESTS = 20
 SERVERS = 3
+PAGES_BYTES_S = 10_000_000
 
 
 def serve_beside(key, value_of):
@@ -42,6 +45,7 @@
 
     async def test(system):
         first = await send(system)
+        assert pages_for_peers(system) == [200, 200]
         known = {one.listed_id for one in system.gateway.parts.targets.entries()}
         async with PlatformServerStandin("i-later") as later:
             await system.store.put(TARGETS, "i-later", listed(later))
@@ -60,6 +64,14 @@
     assert first == second == [200] * REQUESTS
 
 
+def pages_for_peers(system):
+    """Return the statuses of the pages with which peers learn the list."""
+    pages = ReaderPages(
+        system.tables, system.targets, system.gateway, PAGES_BYTES_S, SYSTEM_CLOCK
+    )
+    return [pages.targets_page().status, system.snapshot_page().status]
+
+
 def listed_ids(system):
     """Return the ids of the targets that a gateway may use."""
     entries = system.gateway.parts.targets.entries()
--- a/standins/odd_entries.py
+++ b/standins/odd_entries.py
@@ -95,6 +95,11 @@
     "no object": _as_sent(b"7"),
     "null": _as_sent(b"null"),
     "no JSON": _as_sent(b"\xff\xfe{]"),
+    "UTF-16": lambda entry: json.dumps(entry).encode("utf-16"),
+    "UTF-32": lambda entry: json.dumps(entry).encode("utf-32"),
+    "surrogates as bytes": lambda entry: _with(note="MARK")(entry).replace(
+        b"MARK", b"\xed\xa0\x80"
+    ),
     "a blank": _as_sent(b" "),
 }
 # Keys that can't be sent as the id of a server in a header.
