Refuse texts of an entry that can't be printed

What callers saw: nothing; their requests were served.

Cause: a service, zone or version of lone surrogates or with a line end was accepted, so that the entry counted as a target of that service and zone.

Evidence: three values fail on the code before, as the entry is among the targets of the gateway.

Change: these texts must be printable. Reasons are logged in ASCII.

--- a/siskinthread/platform/_server_entry.py
+++ b/siskinthread/platform/_server_entry.py
@@ -98,9 +98,9 @@
             raise DocumentError([f"{key}: the entry is not a JSON object"])
 
     def text(self, name):
-        """Return a string that is not empty."""
+        """Return a string of printable characters that is not empty."""
         value = self._document.get(name)
-        if not isinstance(value, str) or not value:
+        if not (isinstance(value, str) and value and value.isprintable()):
             self._refuse(name, value)
         return value
 
@@ -149,7 +149,7 @@
             raise DocumentError([f"{self._key}: {error}"]) from error
 
     def _refuse(self, name, value):
-        shown = repr(value)[:80]
+        shown = ascii(value)[:80]
         raise DocumentError([f"{self._key}: {name} is {shown}"])
 
 
