Ignore suspect records whose time no number can hold

What callers would see: requests and prompt parts that crash targets are sent on, as no host reads or writes the register in the store any more.

Cause: a time of 1e400 makes `int` raise OverflowError, and one of 4,000 digits the division after the decoding. Neither was among the errors of a malformed record, so each ended the task that reads all records.

Evidence: test_odd_record_stops_neither_reading_nor_writing on the code before: 10 of 60 fail, these two values under each of five keys; the others pass (NaN, nesting, texts, 5,000 digits, odd keys).

Change: the division belongs to the decoding, and OverflowError to the errors of a malformed record.

Result: 60 of 60 pass.

--- a/siskinthread/platform/_stored_suspects.py
+++ b/siskinthread/platform/_stored_suspects.py
@@ -12,6 +12,15 @@
 MILLISECONDS_PER_SECOND = 1000
 # Logged reasons are truncated to this many characters.
 REASON_LIMIT = 300
+# Errors that decoding a malformed record raises.
+UNREADABLE_ERRORS = (
+    DocumentError,
+    LookupError,
+    OverflowError,
+    ProtocolError,
+    TypeError,
+    ValueError,
+)
 
 _logger = part_logger("platform")
 
@@ -81,10 +90,12 @@
         try:
             document = decode_json(record)
             passed_ms = max(0, self._clock.unix_ms() - int(document["at_ms"]))
+            passed_s = passed_ms / MILLISECONDS_PER_SECOND
             statement = SuspectStatement.from_rows(record.key, document["ends"])
-        except (DocumentError, ProtocolError, LookupError, TypeError, ValueError) as e:
-            _logger.event("suspect record is unreadable", reason=repr(e)[:REASON_LIMIT])
+        except UNREADABLE_ERRORS as error:
+            reason = repr(error)[:REASON_LIMIT]
+            _logger.event("suspect record is unreadable", reason=reason)
             return None
         for end in statement.crashes:
-            end.age_s += passed_ms / MILLISECONDS_PER_SECOND
+            end.age_s += passed_s
         return StoredChange(record.key, statement)
--- a/siskinthread/platform/tests/test_stored_suspects.py
+++ b/siskinthread/platform/tests/test_stored_suspects.py
@@ -4,6 +4,7 @@
 import random
 
 import curio
+import pytest
 
 from siskinthread.observability import Metrics
 from siskinthread.platform._store import StoreClient
@@ -204,6 +205,51 @@
     run_hosts(test)
 
 
+# Bytes of records of another writer.
+ODD_RECORDS = {
+    "time 1e400": b'{"at_ms": 1e400, "ends": [["a", 1, 0]]}',
+    "time NaN": b'{"at_ms": NaN, "ends": [["a", 1, 0]]}',
+    "time of 4,000 digits": b'{"at_ms": -%s, "ends": [["a", 1, 0]]}' % (b"1" * 4000),
+    "time of 5,000 digits": b'{"at_ms": -%s, "ends": [["a", 1, 0]]}' % (b"1" * 5000),
+    "age 1e400": b'{"at_ms": 1, "ends": [["a", 1e400, 0]]}',
+    "age of 4,000 digits": b'{"at_ms": 1, "ends": [["a", %s, 0]]}' % (b"1" * 4000),
+    "mark 1e400": b'{"at_ms": 1, "ends": [["a", 1, 1e400]]}',
+    "nested lists": b"[" * 100_000,
+    "ends are a text": b'{"at_ms": 1, "ends": "abc"}',
+    "no end": b'{"at_ms": 1, "ends": []}',
+    "expired": b'{"at_ms": -1000000000, "ends": [["a", 1, 0]]}',
+    "no JSON": b"\xff",
+}
+ODD_FINGERPRINTS = {
+    "word": "odd",
+    "no UTF-8": "i-\udcff",
+    "beyond latin-1": "\u4e2d",
+    "of 255 bytes": "f" * 255,
+    "NUL": "\0",
+}
+
+
+@pytest.mark.parametrize("value", ODD_RECORDS.values(), ids=ODD_RECORDS)
+@pytest.mark.parametrize("key", ODD_FINGERPRINTS.values(), ids=ODD_FINGERPRINTS)
+def test_odd_record_stops_neither_reading_nor_writing(key, value):
+    """Guards against hosts that follow no request any more for one odd record."""
+
+    async def test(store, clock, one, two):
+        await store.put_bytes(TOPIC, key, value)
+        # A start reads the newest records, the other host reads the change.
+        await one.start()
+        await store.put_bytes(TOPIC, key, value)
+        await one.end_targets(POISON, "i-1", "i-2", "i-3")
+        await until(lambda: POISON in stored(store))
+        await two.start()
+        await until(lambda: two.is_kept_off(POISON))
+        await two.end_targets(OTHER, "i-1", "i-2")
+        await until(lambda: OTHER in stored(store))
+        assert not one.is_kept_off(key)
+
+    run_hosts(test)
+
+
 def test_history_that_the_store_has_dropped_is_read_anew():
     """Guards against a host that never learns of a change again.
 
