Ignore suspect records under a key that is no name

What callers would see: as expired records are never dropped, the store fills, and what a host knows beyond its own observations isn't written.

Cause: a record of another writer that has expired is dropped under its key. A key of surrogates can't be encoded, and the error ended the writing task, which took up the same record again after each restart.

Evidence: test_expired_records_are_dropped_beside_an_odd_key on the code before: 1 of 5 keys fails with UnicodeEncodeError.

Change: names are hexadecimal; a record under a key beyond ASCII is logged and ignored.

Result: 5 of 5 pass.

--- a/siskinthread/platform/_stored_suspects.py
+++ b/siskinthread/platform/_stored_suspects.py
@@ -87,6 +87,10 @@
         """
         if record.value is None:
             return StoredChange(record.key, None)
+        if not record.key.isascii():
+            # Fingerprints and names of parts are hexadecimal.
+            _logger.event("suspect record has an unknown key", key=record.key)
+            return None
         try:
             document = decode_json(record)
             passed_ms = max(0, self._clock.unix_ms() - int(document["at_ms"]))
--- a/siskinthread/platform/tests/test_stored_suspects.py
+++ b/siskinthread/platform/tests/test_stored_suspects.py
@@ -250,6 +250,19 @@
     run_hosts(test)
 
 
+@pytest.mark.parametrize("key", ODD_FINGERPRINTS.values(), ids=ODD_FINGERPRINTS)
+def test_expired_records_are_dropped_beside_an_odd_key(key):
+    """Guards against a store that fills, as no write succeeds for one odd key."""
+
+    async def test(store, clock, one, two):
+        for name in (key, OTHER):
+            await store.put_bytes(TOPIC, name, ODD_RECORDS["expired"])
+        await one.start()
+        await until(lambda: OTHER not in stored(store))
+
+    run_hosts(test)
+
+
 def test_history_that_the_store_has_dropped_is_read_anew():
     """Guards against a host that never learns of a change again.
 
