Check the numbers in reports, counts and maps of ranks

What callers would see: groups whose maps stay as they are, or are planned by nonsense, while one rank states such a value. Suspected, from the readers: a pace of NaN, infinity, 0 or below, negative counts of running requests, held passes and armed steps of any type, counts and experts as texts, negative or beyond the last expert were taken over.

Cause: the values were converted with `int` and `float`, or not at all.

Change: each number must be an integer that a float holds, from 0 on where it is a count; a pace a positive number within a range; a group name printable. The answer is malformed otherwise, as one that is no JSON.

--- a/siskinthread/platform/_rank_client.py
+++ b/siskinthread/platform/_rank_client.py
@@ -37,6 +37,10 @@
 REFUSED_STATUSES = (400, 409, 412, 421)
 # Counts of 1 million pairs of set and expert have this size.
 ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+# Largest integer of which a float holds all smaller ones.
+COUNT_LIMIT = 2**53
+# Far beyond the slowness of any rank that still takes part in passes.
+SLOWNESS_LIMIT = 1e6
 # Cached encoded orders, one for each group under control.
 ORDER_CACHE_SIZE = 4
 
@@ -174,21 +178,22 @@
 def _read_report(document, layout):
     group = document["group"]
     prepared = document.get("prepared")
+    held = document.get("held")
     return RankReport(
-        group_name=group["name"],
-        epoch=int(group["epoch"]),
-        rank=int(group["rank"]),
-        size=int(document["size"]),
+        group_name=_read_name(group["name"]),
+        epoch=_read_number(group["epoch"]),
+        rank=_read_count(group["rank"]),
+        size=_read_count(document["size"]),
         is_open=group["state"] == "open",
         # "step" counts passes of the group, not the token steps within a pass.
-        pass_number=int(document["step"]),
-        map_version=int(document["map"]),
-        prepared_version=None if prepared is None else int(prepared),
+        pass_number=_read_number(document["step"]),
+        map_version=_read_count(document["map"]),
+        prepared_version=None if prepared is None else _read_count(prepared),
         armed=_read_armed(document.get("armed")),
-        held_pass=document.get("held"),
-        running=int(document.get("running", 0)),
+        held_pass=None if held is None else _read_number(held),
+        running=_read_count(document.get("running", 0)),
         # "pace" is the time for a unit of work: a slow rank has a high value.
-        slowness=float(document.get("pace", 1.0)),
+        slowness=_read_slowness(document.get("pace", 1.0)),
         started_unix_ms=read_started_at(document),
     )
 
@@ -196,23 +201,27 @@
 def _read_armed(armed):
     if armed is None:
         return None
-    if isinstance(armed, dict):
-        return ArmedMap(int(armed["version"]), armed.get("step"))
-    return ArmedMap(int(armed), None)
+    if not isinstance(armed, dict):
+        return ArmedMap(_read_count(armed), None)
+    pass_number = armed.get("step")
+    if pass_number is not None:
+        pass_number = _read_number(pass_number)
+    return ArmedMap(_read_count(armed["version"]), pass_number)
 
 
 def _read_counts(document, layout):
     counts = document["counts"]
     if len(counts) != layout.set_count * layout.expert_count:
         raise ValueError(f"wrong number of counts: {len(counts)}")
+    _check_counts(counts, COUNT_LIMIT)
     # The counts are a flat list, ordered by set.
     by_set = [
         counts[start : start + layout.expert_count]
         for start in range(0, len(counts), layout.expert_count)
     ]
     return RankCounts(
-        int(document["epoch"]),
-        int(document["step"]),
+        _read_number(document["epoch"]),
+        _read_number(document["step"]),
         by_set,
         read_started_at(document),
     )
@@ -220,10 +229,53 @@
 
 def _read_held_experts(document, layout):
     held = document["map"]
-    experts_by_set = [tuple(experts) for experts in held["experts"]]
-    if len(experts_by_set) != layout.set_count:
-        raise ValueError(f"wrong number of sets: {len(experts_by_set)}")
-    return HeldExperts(int(document["epoch"]), int(held["version"]), experts_by_set)
+    experts_by_set = held["experts"]
+    if not isinstance(experts_by_set, list) or len(experts_by_set) != layout.set_count:
+        raise ValueError("wrong number of sets")
+    for experts in experts_by_set:
+        _check_counts(experts, layout.expert_count - 1)
+    return HeldExperts(
+        _read_number(document["epoch"]),
+        _read_count(held["version"]),
+        [tuple(experts) for experts in experts_by_set],
+    )
+
+
+def _read_name(value):
+    """Return a text that can be sent on."""
+    if not (isinstance(value, str) and value and value.isprintable()):
+        raise ValueError(f"{value!a:.80} is no name")
+    return value
+
+
+def _read_number(value):
+    """Return an integer that a float can hold; booleans are refused."""
+    if type(value) is not int or not -COUNT_LIMIT <= value <= COUNT_LIMIT:
+        raise ValueError("a value is no integer in the permitted range")
+    return value
+
+
+def _read_count(value):
+    """Return an integer from 0 on."""
+    if _read_number(value) < 0:
+        raise ValueError(f"{value} is negative")
+    return value
+
+
+def _read_slowness(value):
+    is_number = type(value) in (int, float)
+    if not (is_number and 1 / SLOWNESS_LIMIT <= value <= SLOWNESS_LIMIT):
+        raise ValueError("the pace of a rank is no positive number within its limit")
+    return float(value)
+
+
+def _check_counts(values, limit):
+    """Raise an error unless a list holds only integers from 0 to a limit."""
+    # Without a loop in Python, as there may be a million of them.
+    if not isinstance(values, list) or not set(map(type, values)) <= {int}:
+        raise ValueError("a value is no list of integers")
+    if values and not 0 <= min(values) <= max(values) <= limit:
+        raise ValueError("an integer of a list is beyond its range")
 
 
 @lru_cache(maxsize=ORDER_CACHE_SIZE)
