Leave out malformed entries of the host list, and keep the others

What callers would see: on the own layout, hosts that keep an old list, and none after a start, while one odd entry of another writer stands in it.

Cause: one malformed entry made the whole answer unreadable; an infinite port ended the reading task with OverflowError, as it was no known error; a port out of range, or names and addresses of any type, were accepted. An integer of 5,000 digits made the whole document unreadable.

Change: each entry is checked by itself (address, port, texts), logged and left out. `parse_json` reads an integer of too many digits as infinity, so that only its entry is malformed. An entry that is nested too deeply still makes the document unreadable: the last list that was read holds.

--- a/siskinthread/shared_services/_host_list.py
+++ b/siskinthread/shared_services/_host_list.py
@@ -3,9 +3,19 @@
 Each host is an object with the fields of `HostEntry`.
 """
 
+import ipaddress
+import json
+
 from siskinthread.errors import PlatformUnavailableError
+from siskinthread.observability import part_logger
 from siskinthread.shared_services._http import HttpClient, parse_json
 
+PORT_LIMIT = 65_535
+# Logged entries are truncated to this many characters.
+LOGGED_ENTRY_LIMIT = 200
+
+_logger = part_logger("host list")
+
 
 class HostEntry:
     """One host of the host list.
@@ -74,12 +84,11 @@
         return self._entries
 
     def _read(self, body):
-        try:
-            return [_read_entry(value) for value in parse_json("host list", body)]
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformUnavailableError(
-                f"host list: unexpected answer: {error!r}"
-            ) from error
+        values = parse_json("host list", body)
+        if not isinstance(values, list):
+            raise PlatformUnavailableError("host list: the answer is no list")
+        entries = [_read_entry(value) for value in values]
+        return [entry for entry in entries if entry is not None]
 
     async def close(self):
         """Close the kept-alive connections."""
@@ -87,11 +96,31 @@
 
 
 def _read_entry(value):
-    return HostEntry(
-        str(value["host"]),
-        str(value["role"]),
-        str(value["address"]),
-        int(value["port"]),
-        str(value["failure_domain"]),
-        bool(value.get("leaving", False)),
-    )
+    """Return the `HostEntry` of a JSON value; if malformed, log it and return None.
+
+    A malformed entry of another writer must not hide the other hosts.
+    """
+    try:
+        ipaddress.ip_address(_text(value["address"]))
+        port = value["port"]
+        if type(port) is not int or not 1 <= port <= PORT_LIMIT:
+            raise ValueError("the port is out of range")
+        return HostEntry(
+            _text(value["host"]),
+            _text(value["role"]),
+            value["address"],
+            port,
+            _text(value["failure_domain"]),
+            bool(value.get("leaving", False)),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        shown = json.dumps(value)[:LOGGED_ENTRY_LIMIT]
+        _logger.warning("Entry %s names no host: %r", shown, error)
+        return None
+
+
+def _text(value):
+    """Return a text of printable characters."""
+    if not (isinstance(value, str) and value and value.isprintable()):
+        raise ValueError(f"{value!a:.80} is no name")
+    return value
--- a/siskinthread/shared_services/_http.py
+++ b/siskinthread/shared_services/_http.py
@@ -1,6 +1,7 @@
 """HTTP client with kept-alive connections, deadlines and a limit on body sizes."""
 
 import json
+import math
 import socket
 
 import curio
@@ -15,6 +16,8 @@
 
 SIZE_LIMIT_BYTES = 64 * 1024 * 1024
 IDLE_CONNECTIONS_KEPT = 4
+# Digits of an integer, with its sign, in a JSON answer.
+DIGITS_LIMIT = 40
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
 SOCKET_OPTIONS = (
@@ -343,10 +346,19 @@
     ------
     PlatformUnavailableError
         If the body is not valid JSON.
+
+    Notes
+    -----
+    An integer of too many digits is read as infinity, like a number whose exponent is
+    too large, so that it makes its own part of the answer malformed and no other.
     """
     try:
-        return json.loads(body)
+        return json.loads(body, parse_int=_read_integer)
     except (ValueError, RecursionError) as error:
         raise PlatformUnavailableError(
             f"{service}: answer is no JSON: {error}: {body[:80]!r}"
         ) from error
+
+
+def _read_integer(digits):
+    return int(digits) if len(digits) <= DIGITS_LIMIT else math.inf
--- a/siskinthread/shared_services/tests/test_host_list.py
+++ b/siskinthread/shared_services/tests/test_host_list.py
@@ -4,6 +4,7 @@
 import json
 
 import curio
+import pytest
 
 from siskinthread.settings import Address
 from siskinthread.shared_services import HostListClient, PlatformSettings
@@ -64,3 +65,64 @@
     whole = len(json.dumps([entry("a")]))
     assert sizes_bytes[:3] == [whole, 0, 0]
     assert all(sizes_bytes[3:])
+
+
+# JSON of an entry of another writer; MARK stands for a sound host's fields.
+ODD_FIELDS = {
+    "port out of range": '"port": 65536',
+    "port 0": '"port": 0',
+    "port -1": '"port": -1',
+    "port 1e400": '"port": 1e400',
+    "port NaN": '"port": NaN',
+    "port of 5,000 digits": '"port": ' + "1" * 5000,
+    "port is a text": '"port": "1"',
+    "port is true": '"port": true',
+    "port is null": '"port": null',
+    "address of words": '"address": "in the cellar"',
+    "address is null": '"address": null',
+    "address is a number": '"address": 7',
+    "address is a list": '"address": ["127.0.0.1"]',
+    "address is empty": '"address": ""',
+    "name is null": '"host": null',
+    "name is a number": '"host": 7',
+    "name is a surrogate": '"host": "\\ud800"',
+    "name with a line end": '"host": "a\\n"',
+    "domain is a list": '"failure_domain": ["a"]',
+}
+ODD_ENTRIES = {
+    "number": "7",
+    "null": "null",
+    "text": '"a"',
+    "list": "[]",
+    "empty object": "{}",
+    "number of 5,000 digits": "1" * 5000,
+}
+
+
+def odd_entries():
+    """Return the JSON of each odd entry by name."""
+    fields = {
+        # The last of two values of a field counts.
+        name: json.dumps(entry("odd"))[:-1] + f", {literal}}}"
+        for name, literal in ODD_FIELDS.items()
+    }
+    return fields | ODD_ENTRIES
+
+
+@pytest.mark.parametrize("odd", odd_entries().values(), ids=odd_entries())
+def test_odd_entry_names_no_host_and_the_others_hold(odd):
+    """Guards against one entry of another writer that hides all hosts."""
+
+    async def handle(request, exchange):
+        sound = [json.dumps(entry(name)) for name in ("a", "b")]
+        body = f"[{sound[0]}, {odd}, {sound[1]}]".encode()
+        await exchange.answer(200, body)
+
+    async def main():
+        async with HttpServer(handle) as server:
+            address = Address(server.host, server.port)
+            client = HostListClient(PlatformSettings(log=address, host_list=address))
+            assert [line.host for line in await client.fetch()] == ["a", "b"]
+            await client.close()
+
+    curio.run(main)
