Treat numbers that no integer holds as malformed answers

What callers would see: a task that follows the store, the log or a target's load ends by one answer and is restarted, instead of trying again; the link of an agent fails by a count that its messages can't hold. Found by tests.

Cause: `int` raises OverflowError for 1e400, and ValueError for a header of 5,000 digits, where readers expected neither; a nested load report raised RecursionError.

Change: OverflowError is among the errors of each of these readers, and RecursionError among those of load reports. Their counts must fit 32 bits; an era has at most 18 digits.

--- a/siskinthread/audit/_entries.py
+++ b/siskinthread/audit/_entries.py
@@ -106,7 +106,7 @@
 
         Raises
         ------
-        KeyError, TypeError or ValueError
+        KeyError, TypeError, ValueError or OverflowError
             If the dict does not describe an entry.
         """
         return cls(
--- a/siskinthread/audit/_pages.py
+++ b/siskinthread/audit/_pages.py
@@ -53,7 +53,14 @@
             return None
         through = {str(name): int(offset) for name, offset in value["through"].items()}
         entries = [_read_entry(plain) for plain in value["entries"]]
-    except (AttributeError, KeyError, TypeError, ValueError, RecursionError):
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ):
         return None
     return Page([entry for entry in entries if entry is not None], through)
 
@@ -78,5 +85,5 @@
 def _read_entry(plain):
     try:
         return Entry.from_dict(plain)
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, OverflowError):
         return None
--- a/siskinthread/platform/_rank_places.py
+++ b/siskinthread/platform/_rank_places.py
@@ -46,5 +46,5 @@
             instance_id: RankPlace(str(group_name), int(rank), int(size))
             for instance_id, (group_name, rank, size) in document.items()
         }
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise PlatformUnavailableError(f"unreadable rank places: {error!r}") from error
--- a/siskinthread/platform/_store.py
+++ b/siskinthread/platform/_store.py
@@ -35,6 +35,8 @@
 # Keyed topics have one partition.
 ONLY_PARTITION = 0
 JSON_HEADER = ("content-type", "application/json")
+# Errors that decoding a malformed answer raises.
+MALFORMED_ERRORS = (KeyError, TypeError, ValueError, IndexError, OverflowError)
 
 _logger = part_logger("platform")
 
@@ -142,7 +144,7 @@
                 if not page["has_more"]:
                     return records, position
                 after = str(page["items"][-1]["key"])
-            except (KeyError, TypeError, ValueError, IndexError) as error:
+            except MALFORMED_ERRORS as error:
                 raise _unreadable(error) from error
 
     async def write(self, topic, records, position=None):
@@ -214,7 +216,7 @@
             # Rows of topic, partition and committed offset.
             partitions = [int(row[1]) for row in document["parts"]]
             return GroupAssignment(int(document["generation"]), partitions, answer.era)
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        except MALFORMED_ERRORS as error:
             raise _unreadable(error) from error
 
     async def leave(self, group, member):
--- a/siskinthread/platform/_store_era.py
+++ b/siskinthread/platform/_store_era.py
@@ -5,6 +5,8 @@
 ERA_HEADER = b"store-era"
 # Logged values are truncated to this many characters.
 VALUE_LIMIT = 80
+# `int` raises an error for a text of several thousand digits.
+DIGITS_LIMIT = 18
 
 _logger = part_logger("platform")
 
@@ -39,7 +41,8 @@
             Names in lower case, and values.
         """
         values = [value for name, value in headers if name == ERA_HEADER]
-        if len(values) == 1 and values[0].isdigit():
+        is_single = len(values) == 1 and len(values[0]) <= DIGITS_LIMIT
+        if is_single and values[0].isdigit():
             self._has_seen_era = True
             self._is_logged = False
             return int(values[0])
--- a/siskinthread/shared_services/_log.py
+++ b/siskinthread/shared_services/_log.py
@@ -98,7 +98,7 @@
         answer = parse_json("log", await self._http.post(_path(stream), body))
         try:
             return int(answer["offset"])
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise _unexpected(error) from error
 
     async def read(self, stream, from_offset, limit=500, wait_s=0.0):
@@ -134,7 +134,7 @@
         answer = parse_json("log", await self._http.get(target, extra_wait_s=wait_s))
         try:
             return _read_span(answer)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise _unexpected(error) from error
 
     async def close(self):
--- a/siskinthread/targets/_target.py
+++ b/siskinthread/targets/_target.py
@@ -10,6 +10,19 @@
 CONTROL_BODY_LIMIT_BYTES = 64 * 1024
 
 
+# Largest number that the messages between agents and entries hold.
+COUNT_LIMIT = 2**31 - 1
+# Errors that decoding a malformed load report raises.
+MALFORMED_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
 class TargetLoad:
     """A target's own load report.
 
@@ -66,12 +79,12 @@
         try:
             report = json.loads(body)
             return TargetLoad(
-                int(report["running"]),
-                int(report["waiting"]),
-                int(report["capacity"]),
-                int(report.get("age_ms", 0)),
+                _read_count(report["running"]),
+                _read_count(report["waiting"]),
+                _read_count(report["capacity"]),
+                _read_count(report.get("age_ms", 0)),
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED_ERRORS as error:
             raise TargetError(f"malformed load report: {error!r}") from error
 
     async def control(self, method, path):
@@ -135,3 +148,11 @@
     """Return the target of the configured kind."""
     kinds = {"engine": EngineTarget, "plain": PlainTarget}
     return kinds[settings.kind](settings, clock)
+
+
+def _read_count(value):
+    """Return an integer from 0 on that messages can hold."""
+    count = int(value)
+    if not 0 <= count <= COUNT_LIMIT:
+        raise ValueError(f"{value!r:.80} is out of range")
+    return count
