Refuse heads of answers that a lenient parser accepts

What callers saw: a line that begins with a blank or a tab, joined to the field before it (`X-A: b X-Odd: v`) and passed on; values with control bytes; to a request that may not be repeated also the statuses 600 and 999. A folded Content-Length could take the length from an answer, which then ended with its connection.

Cause: h11 unfolds such lines, and accepts control bytes in values and reasons, any major version and any status from 100 on.

Handled before: status 000 and below 100, no three digits, names with blanks, control bytes, 0x7F or bytes beyond ASCII, blanks before the colon, empty names, also in trailers.

Change: `AnswerParser` wraps h11 in all three readers of servers' answers. It keeps the bytes of the head and refuses it for control bytes, a lone carriage return, a folded line, another major version than 1 or a status over 599. The reader treats that as any unreadable answer: it is repeated or becomes 502.

--- a/siskinthread/gateway/_target_connection.py
+++ b/siskinthread/gateway/_target_connection.py
@@ -10,7 +10,13 @@
 from siskinthread.errors import ConnectionLostError, TargetError, TargetSilentError
 from siskinthread.gateway._idle_connections import idle_time_limit_s
 from siskinthread.outcomes import Head
-from siskinthread.sockets import AnswerReceiver, connect, INFORMATIONAL_LIMIT, reset
+from siskinthread.sockets import (
+    AnswerParser,
+    AnswerReceiver,
+    connect,
+    INFORMATIONAL_LIMIT,
+    reset,
+)
 from siskinthread.timing import Deadline
 
 MILLISECONDS_PER_SECOND = 1000
@@ -339,8 +345,8 @@
             await self._sender.cancel()
 
     def _new_http(self):
-        return h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=self._settings.answer_head_limit_bytes
+        return AnswerParser(
+            max_incomplete_event_size=self._settings.answer_head_limit_bytes
         )
 
     def _encode_request(self, body):
--- a/siskinthread/shared_services/_http.py
+++ b/siskinthread/shared_services/_http.py
@@ -12,7 +12,7 @@
     PlatformRefusedError,
     PlatformUnavailableError,
 )
-from siskinthread.sockets import AnswerReceiver, INFORMATIONAL_LIMIT
+from siskinthread.sockets import AnswerParser, AnswerReceiver, INFORMATIONAL_LIMIT
 
 SIZE_LIMIT_BYTES = 64 * 1024 * 1024
 IDLE_CONNECTIONS_KEPT = 4
@@ -245,7 +245,7 @@
         self._socket = sock
         self._authority = authority
         self._receiver = AnswerReceiver(sock, size_limit_bytes)
-        self._protocol = h11.Connection(h11.CLIENT)
+        self._protocol = AnswerParser()
 
     def is_open_and_idle(self):
         """Return whether the connection is open and has no unread data.
--- a/siskinthread/sockets/__init__.py
+++ b/siskinthread/sockets/__init__.py
@@ -2,9 +2,11 @@
 
 Interface: ``await connect(sock, address, wait_s)`` connects with a timeout; ``await
 reset(sock)`` resets a connection whose exchange was abandoned; `AnswerReceiver` limits
-the bytes of an answer and lets other tasks run while it is received.
+the bytes of an answer and lets other tasks run while it is received; `AnswerParser`
+refuses malformed heads of answers.
 """
 
+from siskinthread.sockets._answer_parser import AnswerParser
 from siskinthread.sockets._answer_receiver import (
     ANSWER_PARTS_LIMIT,
     ANSWER_SIZE_LIMIT_BYTES,
@@ -18,6 +20,7 @@
     "ANSWER_PARTS_LIMIT",
     "ANSWER_SIZE_LIMIT_BYTES",
     "INFORMATIONAL_LIMIT",
+    "AnswerParser",
     "AnswerReceiver",
     "connect",
     "reset",
--- a/siskinthread/targets/_connection.py
+++ b/siskinthread/targets/_connection.py
@@ -8,7 +8,12 @@
 
 from siskinthread.errors import ConnectionLostError, TargetError
 from siskinthread.outcomes import Head
-from siskinthread.sockets import AnswerReceiver, INFORMATIONAL_LIMIT, reset
+from siskinthread.sockets import (
+    AnswerParser,
+    AnswerReceiver,
+    INFORMATIONAL_LIMIT,
+    reset,
+)
 from siskinthread.timing import Deadline
 
 BODILESS_STATUSES = (204, 304)
@@ -74,9 +79,8 @@
         self._clock = clock
         self._is_shut_down = False
         self._settings = settings
-        self._http = h11.Connection(
-            h11.CLIENT,
-            max_incomplete_event_size=settings.response_head_limit_bytes,
+        self._http = AnswerParser(
+            max_incomplete_event_size=settings.response_head_limit_bytes
         )
         self._receiver = AnswerReceiver(
             socket, settings.response_size_limit_bytes, settings.response_parts_limit
