Refuse requests that a stop of this host is expected to cut off

Cause: until the balancer has noticed the stop (2.6 s), each request was accepted, however long those of its route take; with a grace of 3 s or less that time filled the whole stop. The check was made on arrival only, so that a repeat late in the stop was sent as well.

Change: a request is refused (503, Retry-After 0, close) if it may outlast the stop by its deadline and is expected to: by mean and deviation of the answered requests of its route, by the oldest running one while none was answered, or by the objective. What must not run twice gets more room, streams none beyond the mean. From half of a stop on, what may outlast it is refused in any case. The check is repeated before each attempt.

Waiting requests were refused at the start of a stop already.

--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -42,11 +42,14 @@
         The request.
     reply : Reply
         Writes the answer to the caller.
+    drain : siskinthread.http_server.DrainState
+        Progress of a drain.
     """
 
     __slots__ = (
         "_attempts",
         "_arrived_at_s",
+        "_drain",
         "_migration_target",
         "_migration_permit",
         "_parts",
@@ -57,8 +60,9 @@
         "_tried_ids",
     )
 
-    def __init__(self, parts, request, reply):
+    def __init__(self, parts, request, reply, drain):
         self._parts = parts
+        self._drain = drain
         self._request = request
         self._reply = reply
         self._attempts = []
@@ -115,6 +119,9 @@
                 if self._parts.targets.is_evacuated(self._request.service_name):
                     self._parts.measures.withheld_at_choice()
                 return await self._answer_unserved(self._attempts[-1:], chosen)
+            late_refusal = self._late_refusal()
+            if late_refusal is not None:
+                return await self._answer_unserved(self._attempts[-1:], late_refusal)
             if not self._may_spend_retry():
                 return await self._answer_unserved(self._attempts[-1:], None)
             # No other task may run between the choice of the target and this line.
@@ -159,17 +166,35 @@
         # Other attempts of the same request may have ended targets during the wait.
         return self._poison_refusal() or chosen
 
+    def _late_refusal(self):
+        """Return the `End` of a request that a drain may abort if it is sent, or None.
+
+        A drain may have begun or gone on since the request arrived.  A begun answer is
+        continued, as its caller may get the rest.
+        """
+        if self._reply.has_begun:
+            return None
+        request = self._request
+        expected_s = self._parts.forecast.expected_s(request.route)
+        refusal = self._drain.refusal(request.deadline, expected_s)
+        return None if refusal is None else refusal.end
+
     async def _run_attempt(self, attempt):
         """Run an attempt, and record its duration if it was answered."""
         room = self._parts.waiting_room
+        forecast = self._parts.forecast
+        route = self._request.route
         began_at_s = self._parts.clock.monotonic_s()
+        forecast.started(route, attempt)
         try:
             await attempt.run()
         finally:
+            forecast.ended(route, attempt)
             room.note_attempt_over(self._request)
         if attempt.result is AttemptResult.ANSWERED:
             took_s = self._parts.clock.monotonic_s() - began_at_s
-            room.request_times.note(self._request.route.name, took_s)
+            room.request_times.note(route.name, took_s)
+            forecast.answered(route, took_s)
             room.note_served(self._request.service_name)
 
     def is_unsent(self):
--- a/siskinthread/gateway/_parts.py
+++ b/siskinthread/gateway/_parts.py
@@ -3,6 +3,7 @@
 import math
 
 from siskinthread.gateway._account_shares import AccountShares
+from siskinthread.gateway._answer_forecast import AnswerForecast
 from siskinthread.gateway._avoided_targets import AvoidedTargets
 from siskinthread.gateway._domain_reachability import DomainReachability
 from siskinthread.gateway._evacuations import Evacuations
@@ -169,6 +170,7 @@
         "clock",
         "cold",
         "evacuations",
+        "forecast",
         "health",
         "host_share",
         "limits",
@@ -238,6 +240,7 @@
         self.choice = TargetChoice(self, failure_domain)
         self.waiting_room = WaitingRoom(self, metrics)
         self.waiting_room.outages = self.outages
+        self.forecast = AnswerForecast(clock)
         self.host_share = HostShare(settings, self.targets, self.loads)
         self.returns = ReturnTimes(self, self.host_share, metrics)
         self.refusals = Refusals(self, metrics)
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -133,7 +133,7 @@
         if self._facts.wait_limit_s is not None:
             wait_s = min(wait_s, self._facts.wait_limit_s)
         deadline = Deadline(parts.clock, self._received_at_s + wait_s)
-        refusal = self.context.drain.refusal(deadline)
+        refusal = self.context.drain.refusal(deadline, parts.forecast.expected_s(route))
         if refusal is not None:
             return await self.refuse(refusal)
         request = GatewayRequest(
@@ -147,7 +147,7 @@
             deadline,
         )
         reply = Reply(self.connection, parts.wire, self.context, request, parts.clock)
-        forwarding = Forwarding(parts, request, reply)
+        forwarding = Forwarding(parts, request, reply, self.context.drain)
         end = End(Outcome.UNKNOWN, Reason.CANCELLED, "The caller left.")
         try:
             end = await forwarding.run()
--- a/siskinthread/http_server/_drain_state.py
+++ b/siskinthread/http_server/_drain_state.py
@@ -2,6 +2,11 @@
 
 from siskinthread.http_server._refusal import refuse
 from siskinthread.outcomes import Reason
+from siskinthread.timing import Deadline
+
+# Part of a drain after which requests that may outlast it are refused, whatever time
+# the balancer takes to notice it.
+EARLY_SHARE = 0.5
 
 
 class DrainState:
@@ -12,30 +17,35 @@
     ends : siskinthread.timing.Deadline or None
         When requests in flight are aborted; None without a drain.
     refuses_late : bool
-        Whether requests that may not end before the drain are refused.
+        Whether requests that may not end before the drain are refused, however soon
+        they are expected to end.
     """
 
-    __slots__ = ("ends", "refuses_late")
+    __slots__ = ("_late_from", "ends", "refuses_late")
 
     def __init__(self):
+        self._late_from = None
         self.ends = None
         self.refuses_late = False
 
-    def begin(self, ends):
-        """Begin a drain that aborts requests at the deadline `ends`."""
+    def begin(self, ends, clock):
+        """Begin a drain that aborts requests at the deadline `ends` of a clock."""
         self.ends = ends
+        self._late_from = Deadline.after(clock, EARLY_SHARE * ends.left_s())
 
     def refuse_late_requests(self):
         """Refuse requests that may not end before the drain, from now on."""
         self.refuses_late = True
 
-    def refusal(self, deadline):
+    def refusal(self, deadline, expected_s=0.0):
         """Return the `Refusal` of a request that may be aborted, or None.
 
         Parameters
         ----------
         deadline : siskinthread.timing.Deadline
             Deadline of the request.
+        expected_s : float
+            Time that the request is expected to take, seconds.
 
         Notes
         -----
@@ -43,7 +53,10 @@
         connection ends, so that the next request may follow on it at any time.  Its
         caller retries at once, at a host that has the time to answer.
         """
-        if not self.refuses_late or deadline.at_s <= self.ends.at_s:
+        if self.ends is None or deadline.at_s <= self.ends.at_s:
+            return None
+        is_late = self.refuses_late or self._late_from.passed()
+        if not is_late and expected_s <= self.ends.left_s():
             return None
         return refuse(
             Reason.NOT_READY,
--- a/siskinthread/http_server/_server.py
+++ b/siskinthread/http_server/_server.py
@@ -152,7 +152,8 @@
         until the balancer has noticed.  After that each connection is closed after its
         next response, and idle connections are closed after a grace period.  A request
         that comes later, on a connection whose answer began before the drain, is
-        accepted only if it ends before the drain.
+        accepted only if it ends before the drain; an earlier one unless it is expected
+        to take longer.
 
         Parameters
         ----------
@@ -166,7 +167,7 @@
         """
         context = self._context
         context.draining = True
-        context.drain.begin(deadline)
+        context.drain.begin(deadline, self._clock)
         logger.info("drain started, readiness fails")
         notice_s = min(self._settings.balancer_notice_s, deadline.left_s())
         await self._sleep_until(Deadline.after(self._clock, notice_s))
--- a/siskinthread/platform/tests/test_stops.py
+++ b/siskinthread/platform/tests/test_stops.py
@@ -10,14 +10,17 @@
     EVENTS,
     is_whole,
     ONCE_PATH,
+    published,
     read_response,
     READ_SIZE_BYTES,
+    route,
     run_system,
     SAFE_PATH,
     status_of,
     STREAM_PATH,
     until,
 )
+from siskinthread.timing import SYSTEM_CLOCK
 from standins import platform_behaviours as faults
 
 
@@ -187,3 +190,130 @@
     assert status_of(answer) == 503
     assert not seen
     assert finished
+
+
+# Times of a stop at a quarter of their usual length.
+QUARTER_STOP = {
+    "balancer_notice_s": 0.575,
+    "idle_grace_s": 0.075,
+    "stop_margin_s": 0.1,
+}
+CALLERS = 30
+# Requests answered before a stop; servers run so many at once.
+HISTORY = 20
+# With an objective at a quarter of its usual value.
+QUARTER_ROUTES = [
+    route("/once/", "unsafe", attempts=1, target_latency_ms=100),
+    route("/safe/", "safe", target_latency_ms=100),
+]
+SERVERS = 4
+# From a refusal's request to its answer.
+REFUSED_WITHIN_S = 0.1
+
+
+class LateStop:
+    """A stop in which callers send until its end.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time until the process is killed.
+    service_s : float
+        Time that servers take for each request.
+    path : str
+        Path of the requests.
+    has_history : bool
+        Whether a request of the route was answered before.
+    """
+
+    def __init__(self, grace_s, service_s, path, has_history=False):
+        self.grace_s = grace_s
+        self.service_s = service_s
+        self.path = path
+        self.has_history = has_history
+
+
+LATE_STOPS = {
+    "6 s of 8 s": LateStop(2.0, 1.5, ONCE_PATH),
+    "6 s of 8 s, known": LateStop(2.0, 1.5, ONCE_PATH, has_history=True),
+    "5 s of 8 s": LateStop(2.0, 1.25, ONCE_PATH),
+    "4 s of 6 s": LateStop(1.5, 1.0, ONCE_PATH),
+    "1 s of 3 s": LateStop(0.75, 0.25, ONCE_PATH),
+    "1 s of 2 s": LateStop(0.5, 0.25, ONCE_PATH),
+    "0.2 s of 8 s": LateStop(2.0, 0.05, ONCE_PATH),
+    "safe, 6 s of 8 s, known": LateStop(2.0, 1.5, SAFE_PATH, has_history=True),
+    "safe, 1 s of 2 s": LateStop(0.5, 0.25, SAFE_PATH),
+}
+
+
+class LateAnswer:
+    """The answer to a request in a stop, and when it was sent and answered."""
+
+    def __init__(self, sent_s, took_s, response):
+        self.sent_s = sent_s
+        self.took_s = took_s
+        self.response = response
+        self.status = status_of(response) if is_whole(response) else None
+
+
+def answers_in_stop(stop):
+    """Send requests on open connections throughout a stop.
+
+    Returns
+    -------
+    tuple of list of LateAnswer, int
+        The answers, and how many requests servers have got in the stop.
+    """
+
+    async def send(system, client, at_s):
+        await curio.sleep(at_s)
+        began_s = SYSTEM_CLOCK.monotonic_s()
+        try:
+            await client.sendall(system.request_bytes(stop.path))
+            response = await read_response(client)
+        except OSError:
+            response = b""
+        took_s = SYSTEM_CLOCK.monotonic_s() - began_s
+        await client.close()
+        return LateAnswer(at_s, took_s, response)
+
+    async def test(system):
+        for server in system.servers:
+            server.set_default_behaviour(faults.answer_after(stop.service_s))
+        if stop.has_history:
+            async with curio.TaskGroup() as history:
+                for _ in range(HISTORY):
+                    await history.spawn(system.request, stop.path)
+        clients = [await system.connect() for _ in range(CALLERS)]
+        seen_count = len(system.seen())
+        drain = await curio.spawn(system.gateway.drain, stop.grace_s)
+        tasks = [
+            await curio.spawn(send, system, client, stop.grace_s * number / CALLERS)
+            for number, client in enumerate(clients)
+        ]
+        answers = [await task.join() for task in tasks]
+        await drain.join()
+        return answers, len(system.seen()) - seen_count
+
+    document = published(routes=QUARTER_ROUTES)
+    return run_system(test, SERVERS, document, **QUARTER_STOP)
+
+
+@pytest.mark.running_clock
+@pytest.mark.parametrize("stop", LATE_STOPS.values(), ids=LATE_STOPS)
+def test_no_request_that_a_server_has_got_is_cut_by_a_stop(stop):
+    """Guards against requests that are passed on late in a stop and get no answer."""
+    answers, seen_count = answers_in_stop(stop)
+    served = [one for one in answers if one.status == 200]
+    unknown = [one for one in answers if one.status == 504]
+    refused = [one for one in answers if one.status == 503]
+    assert seen_count == len(served) + len(unknown)
+    if stop.path == ONCE_PATH:
+        assert not unknown
+    # The others have met a connection that was closed before they were sent.
+    assert {one.response for one in answers if one.status is None} <= {b""}
+    for one in refused:
+        assert one.took_s < REFUSED_WITHIN_S
+        assert b"connection: close" in one.response.lower()
+        assert b"retry-after: 0.000" in one.response.lower()
+    assert served
--- a/standins/platform_behaviours.py
+++ b/standins/platform_behaviours.py
@@ -41,6 +41,16 @@
     await client.sendall(answer_bytes(request.request_id, headers=sealed()))
 
 
+def answer_after(wait_s):
+    """Return a behaviour that answers 200 after a time in seconds."""
+
+    async def behave(server, request, client):
+        await curio.sleep(wait_s)
+        await answer_whole(server, request, client)
+
+    return behave
+
+
 async def decline(server, request, client):
     """Answer 503 with the statement that the request was not run."""
     data = answer_bytes(
