Give a final answer to requests that a stop of this host ends

What callers saw: a request that was still at a server when a planned stop ended lost its connection without an answer.

Cause: at the end of a drain the tasks of all connections were cancelled, and a cancelled task closes its connection.

Change: at the end of a drain, each request that was read whole and has no byte of its answer is cancelled with DrainEndedError. Its session stops the exchange with the target and answers 504 with the reason host_stopped, or 503 if nothing was sent to a target. This takes 0.15 s at most of the time that a stop leaves unused. A stream that has begun is broken off as before.

--- a/siskinthread/callers/_relay.py
+++ b/siskinthread/callers/_relay.py
@@ -85,6 +85,15 @@
         else:
             await self._buffer(event)
 
+    async def end_at_stop(self):
+        """Cancel the answer at the end of a drain, and report that."""
+        message = (
+            "This host is stopped before the answer came; the request may have run."
+        )
+        await self._refuse_and_cancel(
+            End(Outcome.UNKNOWN, Reason.HOST_STOPPED, message)
+        )
+
     async def cancel(self):
         """Cancel the answer unless it has ended."""
         if self.end is None:
--- a/siskinthread/callers/_session.py
+++ b/siskinthread/callers/_session.py
@@ -27,7 +27,7 @@
     ReadyRoute,
     ServiceRoute,
 )
-from siskinthread.http_server import Refusal, Session, status_of
+from siskinthread.http_server import DrainEndedError, Refusal, Session, status_of
 from siskinthread.outcomes import End
 
 
@@ -115,6 +115,8 @@
             relay = Relay(self.connection, built, answer, self.context)
             try:
                 await relay.run()
+            except DrainEndedError:
+                await relay.end_at_stop()
             finally:
                 tokens = relay.tokens
                 async with curio.disable_cancellation():
--- a/siskinthread/callers/tests/test_drain.py
+++ b/siskinthread/callers/tests/test_drain.py
@@ -8,6 +8,7 @@
     answered,
     complete_answer,
     event_stream_head,
+    GET,
     READ_SIZE_BYTES,
     read_to_end,
     read_until,
@@ -174,3 +175,25 @@
     assert refused.startswith(b"HTTP/1.1 503 ")
     assert b"connection: close" in refused
     assert finished
+
+
+def test_request_that_outlasts_a_drain_gets_a_final_answer():
+    """Guards against callers that wait for an answer until their connection is gone."""
+
+    async def test(bench):
+        client = await bench.connect()
+        await client.sendall(GET)
+        running = await bench.dispatcher.begun.get()
+        drain = await curio.spawn(bench.server.drain, Deadline.after(bench.clock, 3.0))
+        while not drain.terminated:
+            bench.clock.advance(0.2)
+            await curio.sleep(0.005)
+        answer = await read_to_end(client)
+        await client.close()
+        return answer, running.cancel_count
+
+    answer, cancel_count = run_bench(test)
+    assert answer.startswith(b"HTTP/1.1 504 ")
+    assert b'"outcome": "unknown", "reason": "host_stopped"' in answer
+    assert b"connection: close" in answer
+    assert cancel_count == 1
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -112,6 +112,32 @@
             # disconnected before an attempt.
             self._parts.waiting_room.note_attempt_over(self._request)
 
+    async def end_at_stop(self):
+        """Write the answer of a request that a stop of this host has ended.
+
+        Returns
+        -------
+        siskinthread.outcomes.End
+            Outcome of the request.
+        """
+        is_unsent = all(
+            not one.written if one.result is None else one.result.is_not_run
+            for one in self._attempts
+        )
+        end = End(
+            Outcome.UNKNOWN,
+            Reason.HOST_STOPPED,
+            "This host is stopped before the answer came; the request may have run.",
+        )
+        if is_unsent:
+            message = "This host is stopped before the request was sent."
+            end = End(
+                Outcome.REFUSED_NOT_RUN, Reason.NOT_READY, message, retry_after_s=0.0
+            )
+        if not self._reply.has_begun:
+            await self._write_end(end)
+        return end
+
     async def _try_targets(self):
         while True:
             chosen = await self._next_target()
@@ -461,7 +487,7 @@
         status = STATUS_BAD_GATEWAY
         if end.outcome is Outcome.REFUSED_NOT_RUN:
             status = STATUS_UNAVAILABLE
-        elif end.reason is Reason.DEADLINE_PASSED:
+        elif end.reason in (Reason.DEADLINE_PASSED, Reason.HOST_STOPPED):
             status = STATUS_GATEWAY_TIMEOUT
         headers = self._parts.wire.own_headers(
             self._request.request_id, end.retry_after_s
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -4,7 +4,7 @@
 from siskinthread.gateway._forwarding import error_body, Forwarding
 from siskinthread.gateway._reply import Reply
 from siskinthread.gateway._request import GatewayRequest
-from siskinthread.http_server import Refusal, refuse, Session
+from siskinthread.http_server import DrainEndedError, Refusal, refuse, Session
 from siskinthread.observability import part_logger
 from siskinthread.outcomes import End, Outcome, Reason
 from siskinthread.timing import Deadline
@@ -153,6 +153,8 @@
             end = await forwarding.run()
         except CallerLeftError as error:
             end = End(Outcome.UNKNOWN, Reason.CANCELLED, str(error))
+        except DrainEndedError:
+            end = await forwarding.end_at_stop()
         except TargetError as error:
             # The answer can't be passed on as valid HTTP, so the connection is closed.
             end = End(Outcome.FAILED_RAN, Reason.TARGET_FAILED, str(error))
--- a/siskinthread/http_server/__init__.py
+++ b/siskinthread/http_server/__init__.py
@@ -10,7 +10,7 @@
 from siskinthread.http_server._body_budget import BodyBudget
 from siskinthread.http_server._caller_socket import CallerSocket
 from siskinthread.http_server._connection import CallerConnection
-from siskinthread.http_server._drain_state import DrainState
+from siskinthread.http_server._drain_state import DrainEndedError, DrainState
 from siskinthread.http_server._head import (
     HOP_BY_HOP_HEADERS,
     relayed_headers,
@@ -30,6 +30,7 @@
     "CallerGroup",
     "CallerSocket",
     "ConnectionServer",
+    "DrainEndedError",
     "DrainState",
     "InputMemory",
     "Phase",
--- a/siskinthread/http_server/_connection.py
+++ b/siskinthread/http_server/_connection.py
@@ -197,6 +197,11 @@
         data += self._http.send(h11.EndOfMessage())
         await self.caller.write(data)
 
+    def owes_answer(self):
+        """Return whether a whole request was read and no byte of its answer written."""
+        is_unanswered = self._http.our_state is h11.SEND_RESPONSE
+        return is_unanswered and self.caller.phase is Phase.ANSWER
+
     def appears_complete_if_closed(self):
         """Return whether closing would make an incomplete answer appear complete."""
         is_complete = self._http.our_state not in (h11.SEND_BODY, h11.ERROR)
--- a/siskinthread/http_server/_drain_state.py
+++ b/siskinthread/http_server/_drain_state.py
@@ -1,5 +1,7 @@
 """Progress of a drain, as requests on open connections need to know it."""
 
+import curio
+
 from siskinthread.http_server._refusal import refuse
 from siskinthread.outcomes import Reason
 from siskinthread.timing import Deadline
@@ -9,6 +11,10 @@
 EARLY_SHARE = 0.5
 
 
+class DrainEndedError(curio.CancelledError):
+    """Cancels a request that is still unanswered at the end of a drain."""
+
+
 class DrainState:
     """Progress of a drain.
 
--- a/siskinthread/http_server/_server.py
+++ b/siskinthread/http_server/_server.py
@@ -7,6 +7,7 @@
 
 from siskinthread.errors import InvariantError
 from siskinthread.http_server._connection import CallerConnection
+from siskinthread.http_server._drain_state import DrainEndedError
 from siskinthread.http_server._input_memory import CallerGroup
 from siskinthread.http_server._phase import Phase
 from siskinthread.observability import part_logger
@@ -25,6 +26,10 @@
 STALE_S = 1.0
 # If accepting takes longer, the kernel's accept queue is considered empty.
 QUEUE_EMPTY_TIMEOUT_S = 0.01
+# Longest wait for the answers that end requests at the end of a drain, which leaves the
+# rest of the stop to other duties.
+FINAL_ANSWERS_S = 0.15
+FINAL_ANSWERS_STEP_S = 0.005
 # A longer interval between rounds of the watchdog means that the process was paused.
 PROCESS_PAUSE_S = 2.0
 
@@ -178,6 +183,8 @@
         await self._wait_until_empty(Deadline.after(self._clock, grace_s))
         context.drain.refuse_late_requests()
         finished = await self._wait_until_empty(deadline)
+        if not finished:
+            await self._end_requests()
         logger.info(
             "drain ended, %d connections still open are closed", len(self._connections)
         )
@@ -336,6 +343,22 @@
             if caller.phase is Phase.IDLE and caller.expires_at_s is not None:
                 caller.expires_at_s = min(caller.expires_at_s, grace_ends_at_s)
 
+    async def _end_requests(self):
+        """Let the callers that still wait for an answer get a final one."""
+        owing = [one for one in self._connections if one.owes_answer()]
+        for connection in owing:
+            await self._connections[connection].cancel(
+                exc=DrainEndedError, blocking=False
+            )
+        deadline = Deadline.after(SYSTEM_CLOCK, FINAL_ANSWERS_S)
+        while owing and not deadline.passed():
+            await curio.sleep(FINAL_ANSWERS_STEP_S)
+            owing = [
+                one
+                for one in owing
+                if one in self._connections and one.caller.phase is not Phase.LINGER
+            ]
+
     async def _end_connections(self):
         for task in list(self._connections.values()):
             await task.cancel(blocking=False)
--- a/siskinthread/outcomes/_outcome.py
+++ b/siskinthread/outcomes/_outcome.py
@@ -62,6 +62,7 @@
     CANCELLED = "cancelled"
     TOO_SLOW_READER = "too_slow_reader"
     # Unknown.
+    HOST_STOPPED = "host_stopped"
     AGENT_REPLACED = "agent_replaced"
     AGENT_UNREACHABLE = "agent_unreachable"
     ISSUED_BEFORE_START = "issued_before_start"
--- a/siskinthread/platform/tests/test_stops.py
+++ b/siskinthread/platform/tests/test_stops.py
@@ -241,6 +241,7 @@
     "1 s of 3 s": LateStop(0.75, 0.25, ONCE_PATH),
     "1 s of 2 s": LateStop(0.5, 0.25, ONCE_PATH),
     "0.2 s of 8 s": LateStop(2.0, 0.05, ONCE_PATH),
+    "safe, 5.5 s of 8 s": LateStop(2.0, 1.375, SAFE_PATH),
     "safe, 6 s of 8 s, known": LateStop(2.0, 1.5, SAFE_PATH, has_history=True),
     "safe, 1 s of 2 s": LateStop(0.5, 0.25, SAFE_PATH),
 }
@@ -317,3 +318,49 @@
         assert b"connection: close" in one.response.lower()
         assert b"retry-after: 0.000" in one.response.lower()
     assert served
+
+
+@pytest.mark.parametrize("path", [ONCE_PATH, SAFE_PATH])
+def test_request_that_outlasts_a_stop_gets_a_final_answer(path):
+    """Guards against callers that wait for an answer until their connection is gone."""
+
+    async def test(system):
+        behave(system, *[faults.hang] * 3)
+        client = await system.connect()
+        await client.sendall(system.request_bytes(path))
+        await until(lambda: len(system.seen()) == 1)
+        finished = await system.gateway.drain(0.5)
+        answer = await read_response(client)
+        closed = await curio.timeout_after(1.0, client.recv, 1)
+        await client.close()
+        return answer, closed, finished, len(system.seen())
+
+    answer, closed, finished, seen_count = run_system(
+        test, balancer_notice_s=0.05, idle_grace_s=0.05
+    )
+    assert is_whole(answer)
+    assert status_of(answer) == 504
+    assert b"host_stopped" in answer
+    assert b"connection: close" in answer.lower()
+    assert closed == b""
+    assert not finished
+    assert seen_count == 1
+
+
+def test_stream_that_outlasts_a_stop_does_not_end_as_complete():
+    """Guards against a stream that a stop ends like a complete one."""
+
+    async def test(system):
+        behave(system, faults.stream(1, 1000, gap_s=0.05))
+        client = await system.connect()
+        await client.sendall(system.request_bytes(STREAM_PATH))
+        received = await client.recv(READ_SIZE_BYTES)
+        await system.gateway.drain(0.6)
+        received = await read_response(client, received)
+        await client.close()
+        return received
+
+    received = run_system(test, balancer_notice_s=0.05, idle_grace_s=0.05)
+    assert b"token 1" in received
+    assert not is_whole(received)
+    assert received.count(b"HTTP/1.1") == 1
