Answer 421 to requests that another entry host has sent on

What callers saw: 401 to 3 to 11 of 20 requests while an entry of another writer named an entry host's address for callers; on routes without keys a request passed through the same host twice.

Cause: a request to a target names the instance expected and holds no key. An entry host ignored that name, took the request for a caller's and answered it; as it repeats the id, its answer passed for that of the target.

Change: a request that names an instance and holds no key gets 421, as from any other server than the one named. The sender then knows that it has not run, tries another target and leaves this one out until its entry changes.

--- a/siskinthread/gateway/__init__.py
+++ b/siskinthread/gateway/__init__.py
@@ -16,6 +16,7 @@
     TokenCounts,
 )
 from siskinthread.gateway._served_reads import ServedTable, ServedTargets
+from siskinthread.gateway._session import STATUS_MISDIRECTED
 from siskinthread.gateway._settings import GatewaySettings
 from siskinthread.gateway._snapshots import Snapshot
 from siskinthread.gateway._status import STATUS_OK, StatusPage
@@ -32,6 +33,7 @@
 from siskinthread.gateway._target_list import TargetEntry
 
 __all__ = [
+    "STATUS_MISDIRECTED",
     "STATUS_OK",
     "Account",
     "AnswerFacts",
--- a/siskinthread/gateway/_request.py
+++ b/siskinthread/gateway/_request.py
@@ -44,10 +44,13 @@
     shared_parts : tuple of str
         Ids of the parts of the prompt that other requests may share, in order: all
         parts but the last one, which is specific to the request.
+    is_for_target : bool
+        Whether an entry host has sent the request on to what it takes for a target.
     """
 
     __slots__ = (
         "api_key",
+        "is_for_target",
         "last_event_id",
         "output_hint",
         "request_id",
@@ -65,6 +68,7 @@
         token_counts=None,
         output_hint=None,
         shared_parts=(),
+        is_for_target=False,
     ):
         self.request_id = request_id
         self.api_key = api_key
@@ -73,6 +77,7 @@
         self.token_counts = token_counts
         self.output_hint = output_hint
         self.shared_parts = shared_parts
+        self.is_for_target = is_for_target
 
 
 class GatewayRequest:
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -11,6 +11,9 @@
 
 _logger = part_logger("gateway")
 
+# States that the request has not run, as the host that answers isn't the one named.
+STATUS_MISDIRECTED = 421
+
 
 class Accepted:
     """Route and client account of a request that passed the checks of its head.
@@ -65,6 +68,10 @@
             wait_s = context.settings.retry_after_s
             refusal = refuse(Reason.OVERLOADED, message, retry_after_s=wait_s)
             return await self.refuse(refusal, in_transfer=True)
+        if self._facts.is_for_target:
+            message = "This host is an entry host and not the target named."
+            refusal = refuse(Reason.BAD_REQUEST, message, STATUS_MISDIRECTED)
+            return await self.refuse(refusal, in_transfer=True)
         receiving = context.bodies.body()
         try:
             body = await self.connection.read_body(receiving)
--- a/siskinthread/platform/_wire.py
+++ b/siskinthread/platform/_wire.py
@@ -1,6 +1,12 @@
 """Headers between callers, the gateway and the platform's servers."""
 
-from siskinthread.gateway import AnswerFacts, LoadReport, RequestFacts, TokenCounts
+from siskinthread.gateway import (
+    AnswerFacts,
+    LoadReport,
+    RequestFacts,
+    STATUS_MISDIRECTED,
+    TokenCounts,
+)
 from siskinthread.http_server import HOP_BY_HOP_HEADERS, relayed_headers
 from siskinthread.platform._target_headers import (
     says_leaving,
@@ -31,7 +37,6 @@
 NOT_RUN = "x-not-executed"
 # Counts of running requests, waiting requests and slots.
 LOAD = "x-server-load"
-STATUS_MISDIRECTED = 421
 # `int` raises an error for a text of several thousand digits.
 DIGITS_LIMIT = 18
 MILLISECONDS_PER_SECOND = 1000
@@ -66,6 +71,9 @@
             _token_counts(head.value(TOKEN_COUNTS)),
             _number(head.value(OUTPUT_HINT)),
             _shared_parts(head.value(PROMPT_PARTS)),
+            # Entry hosts name the instance, and don't pass on the key.
+            head.value(EXPECTED_INSTANCE) is not None
+            and head.value(AUTHORIZATION) is None,
         )
 
     def target_headers(self, request, entry, last_event_id):
--- a/siskinthread/platform/tests/test_odd_entries.py
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 from siskinthread.platform._store_records import KeyedRecord
 from siskinthread.platform.tests.system import (
     listed,
+    ONCE_PATH,
     run_system,
     SAFE_PATH,
     status_of,
@@ -20,6 +21,7 @@
 from standins.platform_server import PlatformServerStandin
 
 TARGETS = "keyed.servers"
+PUBLIC_PATH = "/public/2f"
 REQUESTS = 20
 ROUNDS_LIMIT = 5
 SERVERS = 3
@@ -112,3 +114,39 @@
     assert tables.apply([KeyedRecord(key, value)]) == []
     tables.evacuations.replace_all([KeyedRecord(key, value)])
     assert tables.newest is None
+
+
+def serve_beside_address(address_of, path):
+    """Return the statuses of requests while an entry names an address of our own.
+
+    Parameters
+    ----------
+    address_of : callable
+        Returns host and port for a `System`.
+    path : str
+        Path of the requests.
+    """
+
+    async def test(system):
+        host, port = address_of(system)
+        entry = listed(system.servers[0], address=f"{host}:{port}")
+        await system.store.put(TARGETS, "other", entry)
+        await system.store.put(TARGETS, "i-0", None)
+        await until(lambda: "i-0" not in listed_ids(system))
+        return [status_of(await system.request(path)) for _ in range(2 * REQUESTS)]
+
+    return run_system(test, SERVERS)
+
+
+@pytest.mark.parametrize("path", [SAFE_PATH, PUBLIC_PATH])
+def test_entry_with_the_address_for_callers_passes_no_answer_on(path):
+    """Guards against answers of an entry host that pass for those of a server."""
+    statuses = serve_beside_address(lambda system: system.address, path)
+    assert set(statuses) == {200}
+
+
+def test_request_that_may_not_be_repeated_is_refused_by_an_entry_host():
+    """Guards against a failure of a request that no server has got."""
+    statuses = serve_beside_address(lambda system: system.address, ONCE_PATH)
+    assert set(statuses) <= {200, 503}
+    assert statuses.count(503) <= 1
