Leave out entries with the address of the store

What callers saw: 4 to 10 of 20 requests got 504 while an entry of another writer named the store's address; the entry was not avoided for long.

Cause: the store answers without the request's id, so its answers are dropped as those to other requests, and the request waits until its deadline. A target that is silent until a deadline doesn't count as failing.

Evidence: test_entry_with_the_address_of_the_store_names_no_server, 2 of 2 paths fail on the code before with 504 among 40 answers.

Change: the list is read with the address of the store, at which no target can listen; such an entry is malformed. All hosts have the same store, so that their lists stay equal.

Result: 2 of 2 pass. Still possible for any other service that is listed as a target and answers without the id.

--- a/siskinthread/platform/_daemon.py
+++ b/siskinthread/platform/_daemon.py
@@ -92,7 +92,7 @@
         eras = EraWatch(metrics)
         store = StoreClient(settings.store, STORE_ANSWER_WAIT_S, calls, eras)
         self._tables = PublishedTables(store)
-        self._targets = ListedTargets(store)
+        self._targets = ListedTargets(store, settings.store)
         self._gateway = Gateway(
             _with_limits(tuning.gateway, settings),
             settings.failure_domain,
--- a/siskinthread/platform/_sources.py
+++ b/siskinthread/platform/_sources.py
@@ -98,6 +98,8 @@
     ----------
     store : StoreClient
         The store.
+    store_address : siskinthread.settings.Address or None
+        Its address, at which no target can listen; None if it is not known.
 
     Attributes
     ----------
@@ -115,10 +117,18 @@
     out here, and not where targets are chosen, so that all hosts have the same list.
     """
 
-    __slots__ = ("_era", "_logged_reasons", "_order", "_store", "listed")
+    __slots__ = (
+        "_era",
+        "_logged_reasons",
+        "_order",
+        "_store",
+        "_store_address",
+        "listed",
+    )
 
-    def __init__(self, store):
+    def __init__(self, store, store_address=None):
         self._store = store
+        self._store_address = store_address
         self.listed = {}
         self._order = ReportOrder()
         # Era of the store in which the targets were last read.
@@ -217,7 +227,7 @@
         entry = None
         if record.value is not None:
             try:
-                entry = read_target_entry(record.key, decode_json(record))
+                entry = self._read_target(record)
             except DocumentError as error:
                 self._log_unreadable(record.key, str(error))
             else:
@@ -226,6 +236,14 @@
             entry.record = record
         return entry
 
+    def _read_target(self, record):
+        """Return the `TargetEntry` of a value; raise `DocumentError` if malformed."""
+        entry = read_target_entry(record.key, decode_json(record))
+        store = self._store_address
+        if store is not None and (entry.host, entry.port) == (store.host, store.port):
+            raise DocumentError([f"{record.key}: the store listens at its address"])
+        return entry
+
     def _log_unreadable(self, key, reason):
         if self._logged_reasons.get(key) == reason:
             return
--- a/siskinthread/platform/tests/system.py
+++ b/siskinthread/platform/tests/system.py
@@ -408,7 +408,7 @@
     eras = EraWatch(metrics)
     store = StoreClient(system.store_address, 0.3, calls, eras)
     system.tables = PublishedTables(store)
-    system.targets = ListedTargets(store)
+    system.targets = ListedTargets(store, system.store_address)
     system.gateway = Gateway(
         system.settings,
         "a",
--- a/siskinthread/platform/tests/test_odd_entries.py
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -150,3 +150,12 @@
     statuses = serve_beside_address(lambda system: system.address, ONCE_PATH)
     assert set(statuses) <= {200, 503}
     assert statuses.count(503) <= 1
+
+
+@pytest.mark.parametrize("path", [SAFE_PATH, ONCE_PATH])
+def test_entry_with_the_address_of_the_store_names_no_server(path):
+    """Guards against requests that wait at the store until their deadline."""
+    statuses = serve_beside_address(
+        lambda system: (system.store_address.host, system.store_address.port), path
+    )
+    assert set(statuses) == {200}
