Close connections in time after the answers that a stop gives

What callers saw: nothing; a stopped process was still alive when its grace of 8 s ended, and would have been killed.

Cause: after its final answer a connection waits up to 1 s for its caller to close it, and a stop leaves 0.4 s. Such a session has been cancelled once already, and curio cancels a task only once.

Evidence: a gateway process with a grace of 8 s, callers that keep their connections open and servers that take 5.5 s: alive at 8.00 s.

Change: the wait for callers has the same limit as that for the answers; the waits of the sessions are then ended by their time limit.

--- a/siskinthread/http_server/_server.py
+++ b/siskinthread/http_server/_server.py
@@ -26,8 +26,8 @@
 STALE_S = 1.0
 # If accepting takes longer, the kernel's accept queue is considered empty.
 QUEUE_EMPTY_TIMEOUT_S = 0.01
-# Longest wait for the answers that end requests at the end of a drain, which leaves the
-# rest of the stop to other duties.
+# Longest wait for the answers that end requests at the end of a drain, and for their
+# connections, which leaves the rest of the stop to other duties.
 FINAL_ANSWERS_S = 0.15
 FINAL_ANSWERS_STEP_S = 0.005
 # A longer interval between rounds of the watchdog means that the process was paused.
@@ -345,25 +345,28 @@
 
     async def _end_requests(self):
         """Let the callers that still wait for an answer get a final one."""
-        owing = [one for one in self._connections if one.owes_answer()]
-        for connection in owing:
+        ended = [one for one in self._connections if one.owes_answer()]
+        for connection in ended:
             await self._connections[connection].cancel(
                 exc=DrainEndedError, blocking=False
             )
         deadline = Deadline.after(SYSTEM_CLOCK, FINAL_ANSWERS_S)
-        while owing and not deadline.passed():
+        while not deadline.passed():
+            # Callers close their connections once they have read the answers.
+            ended = [one for one in ended if one in self._connections]
+            if not ended:
+                return
             await curio.sleep(FINAL_ANSWERS_STEP_S)
-            owing = [
-                one
-                for one in owing
-                if one in self._connections and one.caller.phase is not Phase.LINGER
-            ]
+        for connection in ended:
+            await connection.caller.expire()
 
     async def _end_connections(self):
         for task in list(self._connections.values()):
             await task.cancel(blocking=False)
         # Each task cancels its answer; one that hangs must not delay the stop.
-        deadline = Deadline.after(SYSTEM_CLOCK, self._settings.linger_limit_s)
+        has_drained = self._context.drain.ends is not None
+        limit_s = FINAL_ANSWERS_S if has_drained else self._settings.linger_limit_s
+        deadline = Deadline.after(SYSTEM_CLOCK, limit_s)
         await self._wait_until_empty(deadline)
 
     async def _wait_until_empty(self, deadline):
--- a/siskinthread/platform/tests/test_stops.py
+++ b/siskinthread/platform/tests/test_stops.py
@@ -20,7 +20,7 @@
     STREAM_PATH,
     until,
 )
-from siskinthread.timing import SYSTEM_CLOCK
+from siskinthread.timing import Deadline, SYSTEM_CLOCK
 from standins import platform_behaviours as faults
 
 
@@ -320,6 +320,7 @@
     assert served
 
 
+@pytest.mark.running_clock
 @pytest.mark.parametrize("path", [ONCE_PATH, SAFE_PATH])
 def test_request_that_outlasts_a_stop_gets_a_final_answer(path):
     """Guards against callers that wait for an answer until their connection is gone."""
@@ -329,9 +330,11 @@
         client = await system.connect()
         await client.sendall(system.request_bytes(path))
         await until(lambda: len(system.seen()) == 1)
-        finished = await system.gateway.drain(0.5)
+        # The process is killed then, also if the caller keeps its connection open.
+        killed = Deadline.after(SYSTEM_CLOCK, DRAIN_S)
+        finished = await system.gateway.drain(DRAIN_S)
         answer = await read_response(client)
-        closed = await curio.timeout_after(1.0, client.recv, 1)
+        closed = await curio.timeout_after(killed.left_s(), client.recv, 1)
         await client.close()
         return answer, closed, finished, len(system.seen())
 
