Test values nested as deeply as can be read, and end a stop quietly

No fault: entries, suspect records and reports with values at each depth up to that which the parser refuses were malformed already; the tests stay.

Read over: a caller that leaves while a stop writes its final answer raised an error that was logged as unexpected; it ends the request as cancelled now. A malformed host is logged without its entry, which may be nested itself.

--- a/siskinthread/callers/_relay.py
+++ b/siskinthread/callers/_relay.py
@@ -87,9 +87,7 @@
 
     async def end_at_stop(self):
         """Cancel the answer at the end of a drain, and report that."""
-        message = (
-            "This host is stopped before the answer came; the request may have run."
-        )
+        message = "This host is stopped before the answer came; it may have run."
         await self._refuse_and_cancel(
             End(Outcome.UNKNOWN, Reason.HOST_STOPPED, message)
         )
--- a/siskinthread/gateway/_forwarding.py
+++ b/siskinthread/gateway/_forwarding.py
@@ -120,20 +120,19 @@
         siskinthread.outcomes.End
             Outcome of the request.
         """
+        # The attempt that was cancelled has no result.
         is_unsent = all(
             not one.written if one.result is None else one.result.is_not_run
             for one in self._attempts
         )
-        end = End(
-            Outcome.UNKNOWN,
-            Reason.HOST_STOPPED,
-            "This host is stopped before the answer came; the request may have run.",
-        )
         if is_unsent:
             message = "This host is stopped before the request was sent."
             end = End(
                 Outcome.REFUSED_NOT_RUN, Reason.NOT_READY, message, retry_after_s=0.0
             )
+        else:
+            message = "This host is stopped before the answer came; it may have run."
+            end = End(Outcome.UNKNOWN, Reason.HOST_STOPPED, message)
         if not self._reply.has_begun:
             await self._write_end(end)
         return end
--- a/siskinthread/gateway/_session.py
+++ b/siskinthread/gateway/_session.py
@@ -1,5 +1,7 @@
 """Session of one caller connection, whose requests are forwarded to targets."""
 
+import contextlib
+
 from siskinthread.errors import CallerLeftError, TargetError
 from siskinthread.gateway._forwarding import error_body, Forwarding
 from siskinthread.gateway._reply import Reply
@@ -161,7 +163,8 @@
         except CallerLeftError as error:
             end = End(Outcome.UNKNOWN, Reason.CANCELLED, str(error))
         except DrainEndedError:
-            end = await forwarding.end_at_stop()
+            with contextlib.suppress(CallerLeftError):
+                end = await forwarding.end_at_stop()
         except TargetError as error:
             # The answer can't be passed on as valid HTTP, so the connection is closed.
             end = End(Outcome.FAILED_RAN, Reason.TARGET_FAILED, str(error))
--- a/siskinthread/platform/tests/test_odd_entries.py
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -5,7 +5,7 @@
 import pytest
 
 from siskinthread.platform._reader_pages import ReaderPages
-from siskinthread.platform._sources import PublishedTables
+from siskinthread.platform._sources import ListedTargets, PublishedTables
 from siskinthread.platform._store_records import KeyedRecord
 from siskinthread.platform.tests.system import (
     listed,
@@ -15,6 +15,7 @@
     status_of,
     until,
 )
+from siskinthread.settings import Address
 from siskinthread.timing import SYSTEM_CLOCK
 from standins import platform_store
 from standins.odd_entries import ODD_KEYS, ODD_VALUES
@@ -159,3 +160,19 @@
         lambda system: (system.store_address.host, system.store_address.port), path
     )
     assert set(statuses) == {200}
+
+
+# Nesting around the limit of the JSON parser, which depends on the caller's stack.
+DEPTHS = range(1, 1100)
+
+
+@pytest.mark.parametrize("field", ["address", "zone", "state", "slots", "born"])
+def test_value_that_is_nested_as_deeply_as_can_be_read_is_malformed(field):
+    """Guards against an error on the way to the message of a malformed entry."""
+    targets = ListedTargets(None)
+    sound = listed(Address("127.0.0.1", 80))
+    for depth in DEPTHS:
+        literal = "[" * depth + "]" * depth
+        value = json.dumps(sound | {field: "MARK"}).replace('"MARK"', literal)
+        [change] = targets.apply([KeyedRecord("other", value.encode())])
+        assert change.entry is None
--- a/siskinthread/platform/tests/test_odd_rank_answers.py
+++ b/siskinthread/platform/tests/test_odd_rank_answers.py
@@ -183,3 +183,17 @@
     """Guards against experts that are the characters of a text."""
     with pytest.raises(TargetError):
         curio.run(rank_client(with_literal(LISTS, path, literal)).held_experts, 0.1)
+
+
+@pytest.mark.parametrize("path", [["group", "name"], ["born"], ["pace"], ["held"]])
+def test_value_that_is_nested_as_deeply_as_can_be_read_is_malformed(path):
+    """Guards against an error on the way to the message of a malformed report."""
+
+    async def main():
+        for depth in range(1, 1100):
+            literal = "[" * depth + "]" * depth
+            client = rank_client(with_literal(REPORT, path, literal))
+            with pytest.raises(TargetError):
+                await client.report(0.1)
+
+    curio.run(main)
--- a/siskinthread/platform/tests/test_stored_suspects.py
+++ b/siskinthread/platform/tests/test_stored_suspects.py
@@ -250,6 +250,16 @@
     run_hosts(test)
 
 
+def test_tag_that_is_nested_as_deeply_as_can_be_read_is_malformed():
+    """Guards against a tag that can be read but not be made a text."""
+    source = StoredSuspects(None, ManualClock())
+    for depth in range(1, 1100):
+        literal = "[" * depth + "]" * depth
+        value = f'{{"at_ms": 1, "ends": [[{literal}, 1, 0]]}}'.encode()
+        changes = source._decode_records([KeyedRecord(POISON, value)])
+        assert len(changes) <= 1
+
+
 @pytest.mark.parametrize("key", ODD_FINGERPRINTS.values(), ids=ODD_FINGERPRINTS)
 def test_expired_records_are_dropped_beside_an_odd_key(key):
     """Guards against a store that fills, as no write succeeds for one odd key."""
--- a/siskinthread/shared_services/_host_list.py
+++ b/siskinthread/shared_services/_host_list.py
@@ -4,15 +4,12 @@
 """
 
 import ipaddress
-import json
 
 from siskinthread.errors import PlatformUnavailableError
 from siskinthread.observability import part_logger
 from siskinthread.shared_services._http import HttpClient, parse_json
 
 PORT_LIMIT = 65_535
-# Logged entries are truncated to this many characters.
-LOGGED_ENTRY_LIMIT = 200
 
 _logger = part_logger("host list")
 
@@ -114,8 +111,7 @@
             bool(value.get("leaving", False)),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
-        shown = json.dumps(value)[:LOGGED_ENTRY_LIMIT]
-        _logger.warning("Entry %s names no host: %r", shown, error)
+        _logger.warning("An entry names no host: %r", error)
         return None
 
 
--- a/siskinthread/sockets/_answer_parser.py
+++ b/siskinthread/sockets/_answer_parser.py
@@ -7,6 +7,7 @@
 # Control bytes, a carriage return without a line feed, and lines that begin with white
 # space, by which a line was once continued.
 ODD_HEAD = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|\n[ \t]")
+HEADS = (h11.Response, h11.InformationalResponse)
 MAJOR_VERSION = b"1."
 STATUS_LIMIT = 600
 # Odd bytes that are shown in an error.
@@ -44,7 +45,7 @@
     def next_event(self):
         """Return the next event, as `h11.Connection` does."""
         event = super().next_event()
-        if isinstance(event, h11.Response | h11.InformationalResponse):
+        if isinstance(event, HEADS):
             self._check_head(event)
         return event
 
