--- a/siskinthread/platform/tests/test_odd_entries.py
+++ b/siskinthread/platform/tests/test_odd_entries.py
@@ -18,7 +18,7 @@
 from siskinthread.settings import Address
 from siskinthread.timing import SYSTEM_CLOCK
 from standins import platform_store
-from standins.odd_entries import ODD_KEYS, ODD_VALUES
+from standins.odd_entries import ODD_KEYS, ODD_VALUES, with_literal
 from standins.platform_server import PlatformServerStandin
 
 TARGETS = "keyed.servers"
@@ -173,6 +173,6 @@
     sound = listed(Address("127.0.0.1", 80))
     for depth in DEPTHS:
         literal = "[" * depth + "]" * depth
-        value = json.dumps(sound | {field: "MARK"}).replace('"MARK"', literal)
-        [change] = targets.apply([KeyedRecord("other", value.encode())])
+        value = with_literal(sound, [field], literal)
+        [change] = targets.apply([KeyedRecord("other", value)])
         assert change.entry is None
--- a/siskinthread/platform/tests/test_odd_rank_answers.py
+++ b/siskinthread/platform/tests/test_odd_rank_answers.py
@@ -14,6 +14,7 @@
 from siskinthread.platform.tests.test_decoding import ENGINE
 from siskinthread.shared_services._http import Answer
 from siskinthread.timing import SYSTEM_CLOCK
+from standins.odd_entries import with_literal
 
 REPORT = {
     "group": {"name": "g-1", "epoch": 2, "rank": 0, "state": "open"},
@@ -82,16 +83,6 @@
     return client
 
 
-def with_literal(document, path, literal):
-    """Return the bytes of a document in which the value at a path is written so."""
-    copy = json.loads(json.dumps(document))
-    place = copy
-    for name in path[:-1]:
-        place = place[name]
-    place[path[-1]] = "MARK"
-    return json.dumps(copy).replace('"MARK"', literal).encode()
-
-
 def path_of(name):
     """Return the path of a field of a report."""
     return ["group", name] if name in REPORT["group"] else [name]
--- a/siskinthread/shared_services/tests/test_odd_answers.py
+++ b/siskinthread/shared_services/tests/test_odd_answers.py
@@ -1,6 +1,5 @@
 """Numbers in answers and records that no integer or float can hold."""
 
-import json
 
 import curio
 import pytest
@@ -18,6 +17,7 @@
 from siskinthread.targets import Target, TargetSettings
 from siskinthread.timing import SYSTEM_CLOCK
 from standins._http_server import HttpServer
+from standins.odd_entries import with_literal
 
 # Literals of JSON.
 NO_NUMBERS = {
@@ -138,16 +138,6 @@
 }
 
 
-def with_literal(document, path, literal):
-    """Return the bytes of a document in which the value at a path is written so."""
-    copy = json.loads(json.dumps(document))
-    place = copy
-    for name in path[:-1]:
-        place = place[name]
-    place[path[-1]] = "MARK"
-    return json.dumps(copy).replace('"MARK"', literal).encode()
-
-
 @pytest.mark.parametrize("literal", NO_NUMBERS.values(), ids=NO_NUMBERS)
 def test_odd_record_of_the_log_is_left_out(literal):
     """Guards against a trail and claims that end at a record of another writer."""
--- a/standins/odd_entries.py
+++ b/standins/odd_entries.py
@@ -29,14 +29,29 @@
     return build
 
 
-def _number(name, literal):
-    """Return a function that builds an entry with a number as it is written."""
+def with_literal(document, path, literal):
+    """Return the JSON of a document in which a value is written as a literal.
 
-    def build(entry):
-        marked = json.dumps(entry | {name: "MARK"})
-        return marked.replace('"MARK"', literal).encode()
+    Parameters
+    ----------
+    document : dict
+        The document.
+    path : list of str or int
+        Names and indices that lead to the value.
+    literal : str
+        What stands in its place, which need not be JSON.
+    """
+    copy = json.loads(json.dumps(document))
+    place = copy
+    for name in path[:-1]:
+        place = place[name]
+    place[path[-1]] = "MARK"
+    return json.dumps(copy).replace('"MARK"', literal).encode()
 
-    return build
+
+def _number(name, literal):
+    """Return a function that builds an entry with a number as it is written."""
+    return lambda entry: with_literal(entry, [name], literal)
 
 
 def _without(name):
