--- a/siskinthread/platform/tests/test_stops.py
+++ b/siskinthread/platform/tests/test_stops.py
@@ -350,6 +350,32 @@
     assert seen_count == 1
 
 
+def test_request_is_not_repeated_where_a_stop_would_cut_it():
+    """Guards against a repeat that is sent late in a stop and gets no answer."""
+
+    async def lose_late(server, request, client):
+        await curio.sleep(0.7)
+        return faults.CLOSE
+
+    async def test(system):
+        behave(system, lose_late)
+        client = await system.connect()
+        drain = await curio.spawn(system.gateway.drain, DRAIN_S)
+        await client.sendall(system.request_bytes(SAFE_PATH))
+        answer = await read_response(client)
+        await client.close()
+        return answer, len(system.seen()), await drain.join()
+
+    answer, seen_count, finished = run_system(
+        test, stop_margin_s=DRAIN_S - 1.0, balancer_notice_s=1.0
+    )
+    assert is_whole(answer)
+    # It may have run, so that it isn't refused.
+    assert status_of(answer) == 502
+    assert seen_count == 1
+    assert finished
+
+
 def test_stream_that_outlasts_a_stop_does_not_end_as_complete():
     """Guards against a stream that a stop ends like a complete one."""
 
--- a/siskinthread/shared_services/tests/test_odd_answers.py
+++ b/siskinthread/shared_services/tests/test_odd_answers.py
@@ -1,6 +1,5 @@
 """Numbers in answers and records that no integer or float can hold."""
 
-
 import curio
 import pytest
 
