Send callers until each endless server has begun an answer

Cause, from the log of that gateway: all four were listed 0.4 s before. 33 requests went to one sound server and 5 to the other: another endless server had become known as slow, targets that are expected to answer first go before load then, and one whose speed isn't known was passed over. That is how targets are chosen; the test took a choice by chance for certain.

Change: callers are sent in rounds, five at most, until each server has begun an answer, as the test of slow readers does. All bounds are the same and hold for all callers.

--- a/siskinthread/platform/tests/test_endless_answers.py
+++ b/siskinthread/platform/tests/test_endless_answers.py
@@ -41,7 +41,7 @@
 SLOW_READ_BYTES = 4096
 SLOW_PAUSE_S = 0.05
 SLOW_CALLERS = 12
-SLOW_ROUNDS_LIMIT = 5
+ROUNDS_LIMIT = 5
 STREAMS = ("event", "events")
 CASES = [
     (name, path)
@@ -103,6 +103,25 @@
         time.sleep(SPREAD_S)
 
 
+def start_callers(system, path, names, servers):
+    """Start callers until each server has begun an answer to one of them.
+
+    A target whose speed isn't known may be passed over for one that is known to answer
+    soon, so that none of the first callers goes to it.
+    """
+    callers = []
+    for _ in range(ROUNDS_LIMIT):
+        for _ in range(REQUESTS):
+            name = f"{'-'.join(names)}-{path[1:3]}-{len(callers)}"
+            callers.append(Caller(system.address, name, path))
+            callers[-1].start()
+            time.sleep(SPREAD_S)
+        runs = [json.loads(call(one, "GET", "/runs")[1]) for one in servers]
+        if all(one["began_count"] > 0 for one in runs):
+            break
+    return callers
+
+
 def serve_callers_beside(system, path, names):
     """Serve callers beside servers with endless answers, and check all bounds."""
     servers = {f"endless-{path[1:3]}-{name}": name for name in names}
@@ -111,13 +130,7 @@
         for server, name in servers.items()
     ]
     time.sleep(LIST_READ_S)
-    callers = [
-        Caller(system.address, f"{'-'.join(names)}-{path[1:3]}-{number}", path)
-        for number in range(REQUESTS)
-    ]
-    for caller in callers:
-        caller.start()
-        time.sleep(SPREAD_S)
+    callers = start_callers(system, path, names, addresses)
     last_bound_s = time.monotonic() + LONGEST_S
     for caller in callers:
         caller.join()
@@ -133,7 +146,7 @@
     assert max(one.took_s for one in callers) < DEADLINE_S + LATENESS_S
     served_s = sorted(one.took_s for one in callers if one.status == 200)
     began_count = sum(one["began_count"] for one in counts)
-    assert len(served_s) >= REQUESTS - began_count
+    assert len(served_s) >= len(callers) - began_count
     assert served_s[len(served_s) // 2] < OBJECTIVE_S
     assert system.peak_bytes() < MEMORY_LIMIT_BYTES
 
@@ -179,7 +192,7 @@
     Targets are chosen at random, so that all of the first callers may go elsewhere.
     """
     callers = []
-    for _ in range(SLOW_ROUNDS_LIMIT):
+    for _ in range(ROUNDS_LIMIT):
         for _ in range(SLOW_CALLERS):
             callers.append(SlowCaller(system, f"{name}-{len(callers)}"))
             callers[-1].start()
